--- /dev/null
+++ b/crates/runtime/src/clock.rs
@@ -0,0 +1,237 @@
+/*!
+The clock that all code of this project reads.
+
+Two modes per thread. Running: [`now`] reads the monotonic clock and [`sleep`]
+is monoio's timer. Paused: [`now`] reads a counter that only
+[`runtime::paused`](crate::runtime::paused) moves, from timer to timer.
+
+Monotonic time orders everything inside a process and tests leases. Wall time
+([`wall`]) goes into records and into the stated time at which a configuration
+takes effect; the current [`Scope`](crate::Scope) may skew it, so that tests
+run instances whose clocks disagree.
+*/
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    future::Future,
+    ops::{Add, Sub},
+    pin::Pin,
+    task::{Context, Poll, Waker},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use futures_util::future::{Either, select};
+
+use crate::scope;
+
+/// Wall time at which a paused clock starts, in milliseconds since the epoch.
+const PAUSED_EPOCH_MS: u64 = 1_800_000_000_000;
+
+/// Point in monotonic time, in nanoseconds since the thread's first reading.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Instant(u64);
+
+impl Instant {
+    /// Instant at `nanos` nanoseconds after the clock's origin.
+    pub const fn from_nanos(nanos: u64) -> Instant {
+        Instant(nanos)
+    }
+
+    /// Nanoseconds since the clock's origin.
+    pub const fn as_nanos(self) -> u64 {
+        self.0
+    }
+
+    /// Time from `earlier` to `self`, zero when `earlier` is later.
+    pub fn saturating_since(self, earlier: Instant) -> Duration {
+        Duration::from_nanos(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Instant {
+    type Output = Instant;
+
+    fn add(self, rhs: Duration) -> Instant {
+        let nanos = u64::try_from(rhs.as_nanos()).unwrap_or(u64::MAX);
+        Instant(self.0.saturating_add(nanos))
+    }
+}
+
+impl Sub for Instant {
+    type Output = Duration;
+
+    fn sub(self, rhs: Instant) -> Duration {
+        self.saturating_since(rhs)
+    }
+}
+
+struct Virtual {
+    now: Instant,
+    sequence: u64,
+    timers: BTreeMap<(Instant, u64), Waker>,
+}
+
+thread_local! {
+    static VIRTUAL: RefCell<Option<Virtual>> = const { RefCell::new(None) };
+    static ORIGIN: Cell<Option<std::time::Instant>> = const { Cell::new(None) };
+}
+
+/// Current monotonic time.
+pub fn now() -> Instant {
+    let paused = VIRTUAL.with_borrow(|it| it.as_ref().map(|it| it.now));
+    paused.unwrap_or_else(|| {
+        let origin = ORIGIN.get().unwrap_or_else(|| {
+            let origin = std::time::Instant::now();
+            ORIGIN.set(Some(origin));
+            origin
+        });
+        Instant(u64::try_from(origin.elapsed().as_nanos()).unwrap_or(u64::MAX))
+    })
+}
+
+/// Current wall time in milliseconds since the epoch, as this scope sees it.
+pub fn wall() -> u64 {
+    let paused = VIRTUAL.with_borrow(|it| it.as_ref().map(|it| it.now));
+    let true_ms = match paused {
+        Some(now) => PAUSED_EPOCH_MS + now.0 / 1_000_000,
+        None => {
+            let since = SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .unwrap_or_default();
+            u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+        }
+    };
+    true_ms.saturating_add_signed(scope::current_skew_ms())
+}
+
+/// Sleeps for `duration`.
+pub fn sleep(duration: Duration) -> Sleep {
+    sleep_until(now() + duration)
+}
+
+/// Sleeps until `deadline`.
+pub fn sleep_until(deadline: Instant) -> Sleep {
+    Sleep {
+        deadline,
+        timer: Timer::Idle,
+    }
+}
+
+/// Runs `future` for at most `duration`; `None` when the time ran out.
+pub async fn timeout<F: Future>(duration: Duration, future: F) -> Option<F::Output> {
+    timeout_at(now() + duration, future).await
+}
+
+/// Runs `future` until `deadline`; `None` when the time ran out.
+pub async fn timeout_at<F: Future>(deadline: Instant, future: F) -> Option<F::Output> {
+    let sleep = sleep_until(deadline);
+    let future = std::pin::pin!(future);
+    match select(future, sleep).await {
+        Either::Left((output, _)) => Some(output),
+        Either::Right(((), _)) => None,
+    }
+}
+
+enum Timer {
+    Idle,
+    Virtual(u64),
+    Real(Pin<Box<monoio::time::Sleep>>),
+}
+
+/// Future of [`sleep`].
+pub struct Sleep {
+    deadline: Instant,
+    timer: Timer,
+}
+
+impl Future for Sleep {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        let now = now();
+        if now >= self.deadline {
+            return Poll::Ready(());
+        }
+        if is_paused() {
+            self.poll_virtual(cx);
+            return Poll::Pending;
+        }
+        if matches!(self.timer, Timer::Idle) {
+            let sleep = monoio::time::sleep(self.deadline - now);
+            self.timer = Timer::Real(Box::pin(sleep));
+        }
+        match &mut self.timer {
+            Timer::Real(sleep) => sleep.as_mut().poll(cx),
+            Timer::Idle | Timer::Virtual(_) => Poll::Pending,
+        }
+    }
+}
+
+impl Sleep {
+    fn poll_virtual(&mut self, cx: &Context<'_>) {
+        let deadline = self.deadline;
+        VIRTUAL.with_borrow_mut(|it| {
+            let Some(it) = it.as_mut() else { return };
+            let sequence = match self.timer {
+                Timer::Virtual(sequence) => sequence,
+                Timer::Idle | Timer::Real(_) => {
+                    it.sequence += 1;
+                    it.sequence
+                }
+            };
+            self.timer = Timer::Virtual(sequence);
+            it.timers.insert((deadline, sequence), cx.waker().clone());
+        });
+    }
+}
+
+impl Drop for Sleep {
+    fn drop(&mut self) {
+        if let Timer::Virtual(sequence) = self.timer {
+            let key = (self.deadline, sequence);
+            VIRTUAL.with_borrow_mut(|it| it.as_mut().map(|it| it.timers.remove(&key)));
+        }
+    }
+}
+
+/// True while this thread's clock is paused.
+pub fn is_paused() -> bool {
+    VIRTUAL.with_borrow(|it| it.is_some())
+}
+
+/// Pauses this thread's clock until the guard is dropped.
+pub(crate) fn pause() -> Paused {
+    let state = Virtual {
+        now: Instant::default(),
+        sequence: 0,
+        timers: BTreeMap::new(),
+    };
+    VIRTUAL.set(Some(state));
+    Paused(())
+}
+
+pub(crate) struct Paused(());
+
+impl Drop for Paused {
+    fn drop(&mut self) {
+        VIRTUAL.set(None);
+    }
+}
+
+/// Moves a paused clock to its next timer and wakes it; false without one.
+pub(crate) fn advance() -> bool {
+    let waker = VIRTUAL.with_borrow_mut(|it| {
+        let it = it.as_mut()?;
+        let ((deadline, _), waker) = it.timers.pop_first()?;
+        it.now = it.now.max(deadline);
+        Some(waker)
+    });
+    match waker {
+        Some(waker) => {
+            waker.wake();
+            true
+        }
+        None => false,
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/scope.rs
@@ -0,0 +1,234 @@
+/*!
+Groups of tasks that stop together.
+
+[`spawn`] puts a task into the scope of the task that calls it, so one scope
+holds all that a process does. The scope counts polls, which is how a paused
+clock knows that every task waits.
+*/
+
+use std::{
+    cell::{Cell, RefCell},
+    future::Future,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll, Waker},
+};
+
+use futures_channel::oneshot;
+use slab::Slab;
+
+thread_local! {
+    static CURRENT: RefCell<Option<Scope>> = const { RefCell::new(None) };
+    static POLLS: Cell<u64> = const { Cell::new(0) };
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum State {
+    Running,
+    Frozen,
+    Dead,
+}
+
+struct Inner {
+    state: Cell<State>,
+    skew_ms: Cell<i64>,
+    tasks: RefCell<Slab<Waker>>,
+}
+
+/// Tasks of one process, to be frozen, thawed or killed together.
+#[derive(Clone)]
+pub struct Scope(Rc<Inner>);
+
+impl Default for Scope {
+    fn default() -> Scope {
+        Scope::new()
+    }
+}
+
+impl Scope {
+    /// Running scope without tasks.
+    pub fn new() -> Scope {
+        Scope(Rc::new(Inner {
+            state: Cell::new(State::Running),
+            skew_ms: Cell::new(0),
+            tasks: RefCell::default(),
+        }))
+    }
+
+    /// Spawns `future` in this scope; dropping the handle detaches it.
+    pub fn spawn<F>(&self, future: F) -> Handle<F::Output>
+    where
+        F: Future + 'static,
+        F::Output: 'static,
+    {
+        let (sender, receiver) = oneshot::channel();
+        let future = async move {
+            let output = future.await;
+            // The handle may be gone; a detached task has nobody to tell.
+            let _ = sender.send(output);
+        };
+        let future: Pin<Box<dyn Future<Output = ()>>> = Box::pin(future);
+        let task = Scoped {
+            scope: self.clone(),
+            future: Some(future),
+            slot: None,
+        };
+        drop(monoio::spawn(task));
+        Handle(receiver)
+    }
+
+    /// Stops polling the scope's tasks; timers and messages go on meanwhile.
+    pub fn freeze(&self) {
+        if self.is_alive() {
+            self.0.state.set(State::Frozen);
+        }
+    }
+
+    /// Resumes a frozen scope.
+    pub fn thaw(&self) {
+        if self.0.state.get() == State::Frozen {
+            self.0.state.set(State::Running);
+            self.wake_all();
+        }
+    }
+
+    /// Drops every task of the scope at its next turn.
+    pub fn kill(&self) {
+        self.0.state.set(State::Dead);
+        self.wake_all();
+    }
+
+    /// True until the scope is killed.
+    pub fn is_alive(&self) -> bool {
+        self.0.state.get() != State::Dead
+    }
+
+    /// Skews the wall clock that the scope's tasks read, in milliseconds.
+    pub fn set_skew_ms(&self, skew_ms: i64) {
+        self.0.skew_ms.set(skew_ms);
+    }
+
+    /// Tasks of the scope that have been polled and have not ended.
+    pub fn tasks(&self) -> usize {
+        self.0.tasks.borrow().len()
+    }
+
+    fn wake_all(&self) {
+        let wakers: Vec<Waker> = self
+            .0
+            .tasks
+            .borrow()
+            .iter()
+            .map(|(_, it)| it.clone())
+            .collect();
+        for waker in wakers {
+            waker.wake();
+        }
+    }
+}
+
+/// Spawns `future` in the current task's scope, or in none outside of one.
+pub fn spawn<F>(future: F) -> Handle<F::Output>
+where
+    F: Future + 'static,
+    F::Output: 'static,
+{
+    let scope = CURRENT.with_borrow(Clone::clone).unwrap_or_default();
+    scope.spawn(future)
+}
+
+/// Wall clock skew of the current scope, in milliseconds.
+pub(crate) fn current_skew_ms() -> i64 {
+    CURRENT.with_borrow(|it| it.as_ref().map_or(0, |it| it.0.skew_ms.get()))
+}
+
+/// Polls of scoped tasks in this thread so far.
+pub(crate) fn polls() -> u64 {
+    POLLS.get()
+}
+
+/// Waits for a spawned task; `None` when its scope was killed first.
+pub struct Handle<T>(oneshot::Receiver<T>);
+
+impl<T> Future for Handle<T> {
+    type Output = Option<T>;
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<T>> {
+        Pin::new(&mut self.0).poll(cx).map(Result::ok)
+    }
+}
+
+struct Scoped {
+    scope: Scope,
+    future: Option<Pin<Box<dyn Future<Output = ()>>>>,
+    slot: Option<usize>,
+}
+
+impl Scoped {
+    fn remember(&mut self, waker: &Waker) {
+        let mut tasks = self.scope.0.tasks.borrow_mut();
+        match self.slot {
+            Some(slot) if tasks[slot].will_wake(waker) => {}
+            Some(slot) => tasks[slot] = waker.clone(),
+            None => self.slot = Some(tasks.insert(waker.clone())),
+        }
+    }
+
+    fn end(&mut self) {
+        if let Some(slot) = self.slot.take() {
+            self.scope.0.tasks.borrow_mut().remove(slot);
+        }
+        let _entered = Entered::new(&self.scope);
+        self.future = None;
+    }
+}
+
+impl Future for Scoped {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        POLLS.set(POLLS.get() + 1);
+        match self.scope.0.state.get() {
+            State::Dead => {
+                self.end();
+                return Poll::Ready(());
+            }
+            State::Frozen => {
+                self.remember(cx.waker());
+                return Poll::Pending;
+            }
+            State::Running => self.remember(cx.waker()),
+        }
+        let polled = {
+            let _entered = Entered::new(&self.scope.clone());
+            match &mut self.future {
+                Some(future) => future.as_mut().poll(cx),
+                None => Poll::Ready(()),
+            }
+        };
+        if polled.is_ready() {
+            self.end();
+        }
+        polled
+    }
+}
+
+impl Drop for Scoped {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+struct Entered(Option<Scope>);
+
+impl Entered {
+    fn new(scope: &Scope) -> Entered {
+        Entered(CURRENT.replace(Some(scope.clone())))
+    }
+}
+
+impl Drop for Entered {
+    fn drop(&mut self) {
+        CURRENT.set(self.0.take());
+    }
+}
