Add the thin whole path: a job from its caller to the targets and back

Cause: nothing served a request yet; every other matter needs a place. Change: library with caller, entry, owner, target, peer, platform, config, record and settings modules behind narrow traits; dispatch crate; stand-ins in memory and over HTTP; fleet of entry instances on the paused clock; daemon and demonstration.

--- /dev/null
+++ b/crates/bluebellpath/src/admin/mod.rs
@@ -0,0 +1,1 @@
+//! Operators' requests.
--- /dev/null
+++ b/crates/bluebellpath/src/caller/problem.rs
@@ -0,0 +1,80 @@
+//! Problem documents.
+
+use ::http::{StatusCode, header};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    http::Response,
+    job::{Answer, Outcome, Part},
+};
+
+/// Problem document (RFC 9457).
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Problem {
+    /// Kind of problem.
+    #[serde(rename = "type")]
+    pub kind: String,
+    /// Short text, the same for each problem of this kind.
+    pub title: String,
+    /// HTTP status.
+    pub status: u16,
+    /// What happened to this request.
+    pub detail: String,
+    /// What is true of the job.
+    pub outcome: Outcome,
+    /// Job, where there is one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub job: Option<String>,
+    /// What became of each task, in the order of the submission.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub parts: Vec<Part>,
+    /// Time after which asking again may help, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<u64>,
+}
+
+impl Problem {
+    /// Problem of a request that started nothing.
+    pub fn not_run(status: StatusCode, kind: &str, detail: impl Into<String>) -> Box<Problem> {
+        Box::new(Problem {
+            kind: format!("urn:bluebellpath:problem:{kind}"),
+            title: status.canonical_reason().unwrap_or("Error").to_owned(),
+            status: status.as_u16(),
+            detail: detail.into(),
+            outcome: Outcome::NotRun,
+            job: None,
+            parts: Vec::new(),
+            retry_after_ms: None,
+        })
+    }
+
+    /// Problem of a job that is not complete.
+    pub fn of_answer(answer: &Answer) -> Problem {
+        let (status, kind) = match answer.outcome {
+            Outcome::Complete | Outcome::Failed => (StatusCode::BAD_GATEWAY, "failed"),
+            Outcome::NotRun => (StatusCode::SERVICE_UNAVAILABLE, "not-run"),
+            Outcome::Unknown => (StatusCode::GATEWAY_TIMEOUT, "unknown"),
+        };
+        let detail = answer.detail.clone().unwrap_or_default();
+        Problem {
+            outcome: answer.outcome,
+            job: Some(answer.id.to_string()),
+            parts: answer.parts.clone(),
+            retry_after_ms: answer.retry_after_ms,
+            ..*Problem::not_run(status, kind, detail)
+        }
+    }
+
+    /// Response with this problem as its body.
+    pub fn response(&self) -> Response {
+        let status = StatusCode::from_u16(self.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let response = Response::json(status, self).with_type("application/problem+json");
+        match self.retry_after_ms {
+            Some(ms) => {
+                let seconds = ms.div_ceil(1000).max(1);
+                response.with_header(header::RETRY_AFTER, &seconds.to_string())
+            }
+            None => response,
+        }
+    }
+}
--- /dev/null
+++ b/crates/bluebellpath/src/entry/config.rs
@@ -0,0 +1,49 @@
+//! Configuration of an entry instance.
+
+use std::{net::SocketAddr, time::Duration};
+
+use crate::{job::Incarnation, peer, settings::Domain};
+
+/// Configuration of an entry instance.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Name in the instance list.
+    pub name: String,
+    /// Run of the instance.
+    pub incarnation: Incarnation,
+    /// Address for peers.
+    pub address: SocketAddr,
+    /// Timing of heartbeats.
+    pub membership: peer::Config,
+    /// Failure domain.
+    pub domain: Domain,
+    /// Failure domains that are configured.
+    pub domains: u16,
+    /// Time between two readings of the instance list.
+    pub list_interval: Duration,
+    /// Lease under which targets run tasks.
+    pub task_lease: Duration,
+    /// Time for which an answer is kept after it was given.
+    pub retention: Duration,
+    /// Most jobs that are kept, answered ones included.
+    pub max_jobs: usize,
+}
+
+impl Config {
+    /// Instance `name` in the only domain: list read each second, tasks leased
+    /// for 10 s, answers kept for 60 s, at most 100,000 jobs.
+    pub fn new(name: &str, incarnation: Incarnation, address: SocketAddr) -> Config {
+        Config {
+            name: name.to_owned(),
+            incarnation,
+            address,
+            membership: peer::Config::default(),
+            domain: Domain::new(0),
+            domains: 1,
+            list_interval: Duration::from_secs(1),
+            task_lease: Duration::from_secs(10),
+            retention: Duration::from_secs(60),
+            max_jobs: 100_000,
+        }
+    }
+}
--- /dev/null
+++ b/crates/bluebellpath/src/entry/job.rs
@@ -0,0 +1,222 @@
+//! A job in one entry instance.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
+
+use bluebellpath_dispatch::JobId;
+use bluebellpath_runtime::{Instant, Notify, clock};
+
+use crate::{
+    config::View,
+    job::{Answer, Digest, Id, Outcome, Part, Submission, TaskId},
+    platform::Instance,
+};
+
+/// Why a job is not complete, and when to ask again.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Cause {
+    pub(super) detail: String,
+    pub(super) retry_after_ms: Option<u64>,
+}
+
+/// Where a task stands.
+#[derive(Clone, Debug)]
+enum Place {
+    Waiting,
+    Running(Rc<Instance>),
+    Ended,
+}
+
+struct Slot {
+    place: Place,
+    part: Part,
+}
+
+/// A job in one entry instance.
+pub(super) struct Job {
+    pub(super) id: Id,
+    pub(super) number: JobId,
+    pub(super) digest: Digest,
+    pub(super) submission: Submission,
+    pub(super) view: Rc<View>,
+    pub(super) submitted: Instant,
+    pub(super) submitted_ms: u64,
+    pub(super) cancelled: Cell<bool>,
+    slots: RefCell<Vec<Slot>>,
+    left: Cell<usize>,
+    cause: RefCell<Option<Cause>>,
+    answer: RefCell<Option<Rc<Answer>>>,
+    done: Notify,
+}
+
+impl Job {
+    pub(super) fn new(id: Id, number: JobId, submission: Submission, view: Rc<View>) -> Job {
+        let slots: Vec<Slot> = submission
+            .tasks
+            .iter()
+            .map(|it| Slot::new(&it.caller))
+            .collect();
+        Job {
+            id,
+            number,
+            digest: Digest::of(&submission),
+            view,
+            submitted: clock::now(),
+            submitted_ms: clock::wall(),
+            cancelled: Cell::new(false),
+            left: Cell::new(slots.len()),
+            slots: RefCell::new(slots),
+            submission,
+            cause: RefCell::default(),
+            answer: RefCell::default(),
+            done: Notify::new(),
+        }
+    }
+
+    /// Id of the task at `index`.
+    pub(super) fn task(&self, index: u32) -> TaskId {
+        TaskId {
+            job: self.id.clone(),
+            index,
+        }
+    }
+
+    /// Notes that a task is being handed to `target`.
+    pub(super) fn started(&self, index: u32, target: Rc<Instance>) {
+        let mut slots = self.slots.borrow_mut();
+        let slot = &mut slots[index as usize];
+        slot.part.target = Some(target.name.clone());
+        slot.place = Place::Running(target);
+    }
+
+    /// Notes that a task waits again because it certainly never started.
+    pub(super) fn requeued(&self, index: u32) {
+        let mut slots = self.slots.borrow_mut();
+        let slot = &mut slots[index as usize];
+        slot.part.target = None;
+        slot.place = Place::Waiting;
+    }
+
+    /// Notes the end of a task; true when it was the job's last one.
+    pub(super) fn ended(&self, index: u32, ending: Ending) -> bool {
+        let mut slots = self.slots.borrow_mut();
+        let slot = &mut slots[index as usize];
+        if matches!(slot.place, Place::Ended) {
+            return false;
+        }
+        slot.place = Place::Ended;
+        slot.part.outcome = ending.outcome;
+        slot.part.result = ending.result;
+        slot.part.elapsed_us = ending.elapsed_us;
+        if ending.outcome == Outcome::NotRun {
+            slot.part.target = None;
+        }
+        self.left.set(self.left.get() - 1);
+        self.left.get() == 0
+    }
+
+    /// Targets that run tasks of this job now, with the tasks' places.
+    pub(super) fn running(&self) -> Vec<(u32, Rc<Instance>)> {
+        let slots = self.slots.borrow();
+        let running = slots
+            .iter()
+            .enumerate()
+            .filter_map(|(index, it)| match &it.place {
+                Place::Running(target) => Some((index as u32, target.clone())),
+                Place::Waiting | Place::Ended => None,
+            });
+        running.collect()
+    }
+
+    /// Remembers why the job will not be complete; the first cause stays.
+    pub(super) fn set_cause(&self, cause: Cause) {
+        self.cause.borrow_mut().get_or_insert(cause);
+    }
+
+    /// Outcome of the job, given that all of its tasks have ended.
+    pub(super) fn outcome(&self) -> Outcome {
+        Outcome::of_job(self.slots.borrow().iter().map(|it| it.part.outcome))
+    }
+
+    /// Builds the answer from the tasks' ends and wakes who waits for it.
+    pub(super) fn finish(&self, outcome: Outcome) {
+        let mut parts: Vec<Part> = self.slots.borrow_mut().iter_mut().map(Slot::take).collect();
+        let cause = self.cause.borrow().clone().unwrap_or_default();
+        if outcome != Outcome::Complete {
+            parts.iter_mut().for_each(|it| it.result = None);
+        }
+        let detail = (!cause.detail.is_empty()).then_some(cause.detail);
+        let answer = Answer {
+            id: self.id.clone(),
+            outcome,
+            detail: detail.filter(|_| outcome != Outcome::Complete),
+            retry_after_ms: cause.retry_after_ms,
+            parts,
+            preset: self.view.document.preset.clone(),
+            config_version: self.view.version,
+        };
+        *self.answer.borrow_mut() = Some(Rc::new(answer));
+        self.done.notify();
+    }
+
+    /// True once the answer is there.
+    pub(super) fn is_answered(&self) -> bool {
+        self.answer.borrow().is_some()
+    }
+
+    /// Waits for the answer.
+    pub(super) async fn answered(&self) -> Rc<Answer> {
+        loop {
+            let done = self.done.notified();
+            if let Some(answer) = self.answer.borrow().as_ref() {
+                return answer.clone();
+            }
+            done.await;
+        }
+    }
+}
+
+/// End of one task.
+#[derive(Clone, Debug)]
+pub(super) struct Ending {
+    pub(super) outcome: Outcome,
+    pub(super) result: Option<String>,
+    pub(super) elapsed_us: Option<u64>,
+}
+
+impl Ending {
+    /// End of a task that never started.
+    pub(super) fn not_run() -> Ending {
+        Ending {
+            outcome: Outcome::NotRun,
+            result: None,
+            elapsed_us: None,
+        }
+    }
+}
+
+impl Slot {
+    fn new(caller: &str) -> Slot {
+        let part = Part {
+            caller: caller.to_owned(),
+            outcome: Outcome::NotRun,
+            target: None,
+            result: None,
+            elapsed_us: None,
+        };
+        Slot {
+            place: Place::Waiting,
+            part,
+        }
+    }
+
+    fn take(&mut self) -> Part {
+        let result = self.part.result.take();
+        Part {
+            result,
+            ..self.part.clone()
+        }
+    }
+}
--- /dev/null
+++ b/crates/bluebellpath/src/entry/jobs.rs
@@ -0,0 +1,55 @@
+//! Jobs that an entry instance knows.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+};
+
+use bluebellpath_dispatch::JobId;
+
+use super::job::Job;
+use crate::job::Id;
+
+/// Jobs by id and by number.
+#[derive(Default)]
+pub(super) struct Jobs {
+    by_id: RefCell<HashMap<Id, Rc<Job>>>,
+    by_number: RefCell<HashMap<JobId, Rc<Job>>>,
+    numbers: Cell<u64>,
+}
+
+impl Jobs {
+    /// Job under `id`.
+    pub(super) fn find(&self, id: &Id) -> Option<Rc<Job>> {
+        self.by_id.borrow().get(id).cloned()
+    }
+
+    /// Job with `number`.
+    pub(super) fn get(&self, number: JobId) -> Option<Rc<Job>> {
+        self.by_number.borrow().get(&number).cloned()
+    }
+
+    /// Fresh number.
+    pub(super) fn number(&self) -> JobId {
+        self.numbers.set(self.numbers.get() + 1);
+        JobId(self.numbers.get())
+    }
+
+    /// Adds a job.
+    pub(super) fn insert(&self, job: Rc<Job>) {
+        self.by_number.borrow_mut().insert(job.number, job.clone());
+        self.by_id.borrow_mut().insert(job.id.clone(), job);
+    }
+
+    /// Forgets a job.
+    pub(super) fn remove(&self, job: &Job) {
+        self.by_number.borrow_mut().remove(&job.number);
+        self.by_id.borrow_mut().remove(&job.id);
+    }
+
+    /// Jobs that are kept.
+    pub(super) fn len(&self) -> usize {
+        self.by_id.borrow().len()
+    }
+}
--- /dev/null
+++ b/crates/bluebellpath/src/http/client.rs
@@ -0,0 +1,326 @@
+/*!
+Calling side: pooled connections with a limit for each address.
+
+One task owns each connection. While idle it also reads, so that a connection
+which the other side closes leaves the pool at once; a request written to a
+connection that is already closed would be a request of unknown outcome.
+*/
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use ::http::{HeaderValue, header};
+use bluebellpath_runtime::{clock, spawn};
+use futures_channel::{mpsc, oneshot};
+use futures_util::{
+    StreamExt,
+    future::{Either, select},
+};
+use monoio::{
+    io::{OwnedReadHalf, OwnedWriteHalf, Splitable, sink::SinkExt},
+    net::TcpStream,
+};
+use monoio_http::h1::codec::encoder::GenericEncoder;
+
+use super::{Error, Fault, Limits, Request, Response, Step, reader::Reader, server::payload};
+use crate::target::{Fence, Open};
+
+/// Limits and timeouts of a [`Client`].
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// Limits on responses.
+    pub limits: Limits,
+    /// Longest time for making a connection.
+    pub connect: Duration,
+    /// Connections to one address, where a call sets no other limit.
+    pub connections: usize,
+}
+
+impl Default for Config {
+    /// Default limits, 1 s to connect, 64 connections for each address.
+    fn default() -> Config {
+        Config {
+            limits: Limits::default(),
+            connect: Duration::from_secs(1),
+            connections: 64,
+        }
+    }
+}
+
+/// HTTP client with pooled connections.
+#[derive(Clone)]
+pub struct Client(Rc<Shared>);
+
+struct Shared {
+    config: Config,
+    pools: RefCell<HashMap<SocketAddr, Rc<Pool>>>,
+}
+
+#[derive(Default)]
+struct Pool {
+    idle: RefCell<Vec<mpsc::UnboundedSender<Call>>>,
+    open: Cell<usize>,
+}
+
+struct Call {
+    request: Request,
+    fence: Rc<dyn Fence>,
+    timeout: Duration,
+    reply: oneshot::Sender<Result<Response, Failure>>,
+}
+
+#[derive(Clone, Copy)]
+struct Failure {
+    step: Step,
+    fault: Fault,
+    sent: bool,
+}
+
+impl Client {
+    /// Client with the given configuration.
+    pub fn new(config: Config) -> Client {
+        Client(Rc::new(Shared {
+            config,
+            pools: RefCell::default(),
+        }))
+    }
+
+    /// Sends `request` to `peer` and waits up to `timeout` for the response.
+    pub async fn send(
+        &self,
+        peer: SocketAddr,
+        request: Request,
+        timeout: Duration,
+    ) -> Result<Response, Error> {
+        let connections = self.0.config.connections;
+        self.send_fenced(peer, request, timeout, connections, Rc::new(Open))
+            .await
+    }
+
+    /// Like [`Client::send`], over at most `connections` connections; tests
+    /// `fence` right before the first byte is handed to the socket.
+    pub async fn send_fenced(
+        &self,
+        peer: SocketAddr,
+        request: Request,
+        timeout: Duration,
+        connections: usize,
+        fence: Rc<dyn Fence>,
+    ) -> Result<Response, Error> {
+        let error = |it: Failure| Error {
+            step: it.step,
+            peer: peer.to_string(),
+            fault: it.fault,
+            sent: it.sent,
+        };
+        let unsent = |fault| {
+            error(Failure {
+                step: Step::Connect,
+                fault,
+                sent: false,
+            })
+        };
+        let pool = self.0.pools.borrow_mut().entry(peer).or_default().clone();
+        let (reply, answer) = oneshot::channel();
+        let mut call = Call {
+            request,
+            fence,
+            timeout,
+            reply,
+        };
+        loop {
+            let Some(connection) = pool.take() else { break };
+            match connection.unbounded_send(call) {
+                Ok(()) => return self.wait(answer).await.map_err(error),
+                // The connection ended while it lay in the pool.
+                Err(back) => call = back.into_inner(),
+            }
+        }
+        if pool.open.get() >= connections {
+            return Err(unsent(Fault::Connections));
+        }
+        let connection = self.connect(peer, pool).await.map_err(unsent)?;
+        match connection.unbounded_send(call) {
+            Ok(()) => self.wait(answer).await.map_err(error),
+            Err(_) => Err(unsent(Fault::Closed)),
+        }
+    }
+
+    async fn wait(
+        &self,
+        answer: oneshot::Receiver<Result<Response, Failure>>,
+    ) -> Result<Response, Failure> {
+        // A connection's task that ends without a word may have sent bytes.
+        let lost = Failure {
+            step: Step::Receive,
+            fault: Fault::Closed,
+            sent: true,
+        };
+        answer.await.unwrap_or(Err(lost))
+    }
+
+    async fn connect(
+        &self,
+        peer: SocketAddr,
+        pool: Rc<Pool>,
+    ) -> Result<mpsc::UnboundedSender<Call>, Fault> {
+        let slot = Slot::new(pool);
+        let connect = TcpStream::connect_addr(peer);
+        let connected = clock::timeout(self.0.config.connect, connect).await;
+        let stream = connected.ok_or(Fault::TimedOut)?.map_err(|_| Fault::Io)?;
+        // Without this a small request waits for the other side's delayed ack.
+        let _ = stream.set_nodelay(true);
+        let (sender, calls) = mpsc::unbounded();
+        let connection = Connection::new(stream, peer, self.0.config.limits);
+        drop(spawn(connection.run(calls, sender.clone(), slot)));
+        Ok(sender)
+    }
+}
+
+impl Pool {
+    fn take(&self) -> Option<mpsc::UnboundedSender<Call>> {
+        self.idle.borrow_mut().pop()
+    }
+}
+
+/// Counts a connection while it lives.
+struct Slot(Rc<Pool>);
+
+impl Slot {
+    fn new(pool: Rc<Pool>) -> Slot {
+        pool.open.set(pool.open.get() + 1);
+        Slot(pool)
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+struct Connection {
+    peer: SocketAddr,
+    limits: Limits,
+    reader: Reader<OwnedReadHalf<TcpStream>>,
+    write: OwnedWriteHalf<TcpStream>,
+}
+
+impl Connection {
+    fn new(stream: TcpStream, peer: SocketAddr, limits: Limits) -> Connection {
+        let (read, write) = stream.into_split();
+        Connection {
+            peer,
+            limits,
+            reader: Reader::new(read),
+            write,
+        }
+    }
+
+    async fn run(
+        mut self,
+        mut calls: mpsc::UnboundedReceiver<Call>,
+        own: mpsc::UnboundedSender<Call>,
+        slot: Slot,
+    ) {
+        while let Some(call) = self.next(&mut calls).await {
+            let Call {
+                request,
+                fence,
+                timeout,
+                reply,
+            } = call;
+            let result = self.exchange(request, fence.as_ref(), timeout).await;
+            let keep = result.as_ref().is_ok_and(|(_, keep)| *keep);
+            if keep {
+                slot.0.idle.borrow_mut().push(own.clone());
+            }
+            // The caller may have stopped waiting.
+            let _ = reply.send(result.map(|(response, _)| response));
+            if !keep {
+                return;
+            }
+        }
+    }
+
+    /// Next call, or `None` once the connection is of no use any more.
+    async fn next(&mut self, calls: &mut mpsc::UnboundedReceiver<Call>) -> Option<Call> {
+        let idle = std::pin::pin!(clock::timeout(self.limits.idle, self.reader.wait()));
+        match select(calls.next(), idle).await {
+            Either::Left((call, _)) => call,
+            Either::Right(_) => {
+                calls.close();
+                // A call that was queued in this very moment is still unsent.
+                if let Ok(call) = calls.try_recv() {
+                    let failure = Failure {
+                        step: Step::Connect,
+                        fault: Fault::Closed,
+                        sent: false,
+                    };
+                    let _ = call.reply.send(Err(failure));
+                }
+                None
+            }
+        }
+    }
+
+    async fn exchange(
+        &mut self,
+        request: Request,
+        fence: &dyn Fence,
+        timeout: Duration,
+    ) -> Result<(Response, bool), Failure> {
+        let failed = |step, sent| move |fault| Failure { step, fault, sent };
+        let message = self.message(request);
+        // Nothing may come between this test and the write.
+        fence
+            .check()
+            .map_err(|_| failed(Step::Fence, false)(Fault::Lapsed))?;
+        let send = async {
+            let mut encoder = GenericEncoder::new(&mut self.write);
+            encoder.send_and_flush(message).await.map_err(|_| Fault::Io)
+        };
+        let sent = clock::timeout(self.limits.write, send).await;
+        sent.unwrap_or(Err(Fault::TimedOut))
+            .map_err(failed(Step::Send, true))?;
+        let head = self.reader.response_head(&self.limits, timeout).await;
+        let head = head.map_err(failed(Step::Receive, true))?;
+        let body = self.reader.body(&head.headers, &self.limits).await;
+        let body = body.map_err(failed(Step::Receive, true))?;
+        let close = head
+            .headers
+            .get(header::CONNECTION)
+            .is_some_and(|it| it == "close");
+        let response = Response {
+            status: head.status,
+            headers: head.headers,
+            body,
+        };
+        Ok((response, !close))
+    }
+
+    fn message(&self, request: Request) -> ::http::Request<monoio_http::h1::payload::Payload> {
+        let target = match &request.query {
+            Some(query) => format!("{}?{query}", request.path),
+            None => request.path,
+        };
+        let mut message = ::http::Request::new(payload(request.body));
+        *message.method_mut() = request.method;
+        *message.uri_mut() = target.parse().unwrap_or_default();
+        *message.headers_mut() = request.headers;
+        let headers = message.headers_mut();
+        if let Ok(host) = HeaderValue::from_str(&self.peer.to_string()) {
+            headers.insert(header::HOST, host);
+        }
+        // Makes the codec write a length for requests without a body too.
+        headers
+            .entry(header::CONTENT_LENGTH)
+            .or_insert(HeaderValue::from_static("0"));
+        message
+    }
+}
--- /dev/null
+++ b/crates/bluebellpath/src/http/reader.rs
@@ -0,0 +1,154 @@
+//! Reads whole messages off a connection, within limits.
+
+use std::time::Duration;
+
+use ::http::{HeaderMap, header};
+use bluebellpath_runtime::clock;
+use bytes::{Bytes, BytesMut};
+use monoio::io::AsyncReadRent;
+use monoio_codec::{Decoded, Decoder};
+use monoio_http::h1::codec::decoder::{RequestHeadDecoder, ResponseHeadDecoder};
+
+use super::{Fault, Limits};
+
+/// Bytes asked of the socket at once.
+const CHUNK_BYTES: usize = 4 << 10;
+
+/// Length of a body, as its head declares it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Length {
+    Known(usize),
+    Chunked,
+}
+
+/// Buffered reading side of a connection.
+pub(super) struct Reader<R> {
+    io: R,
+    buffer: BytesMut,
+}
+
+impl<R: AsyncReadRent> Reader<R> {
+    pub(super) fn new(io: R) -> Reader<R> {
+        Reader {
+            io,
+            buffer: BytesMut::new(),
+        }
+    }
+
+    /// Waits for the first byte of a message; false at the end of the stream.
+    pub(super) async fn wait(&mut self) -> Result<bool, Fault> {
+        if !self.buffer.is_empty() {
+            return Ok(true);
+        }
+        self.fill().await
+    }
+
+    /// Reads the head of a request.
+    pub(super) async fn request_head(
+        &mut self,
+        limits: &Limits,
+    ) -> Result<::http::request::Parts, Fault> {
+        let mut decoder = RequestHeadDecoder;
+        let head = self.head(&mut decoder, limits.head_bytes);
+        clock::timeout(limits.message, head)
+            .await
+            .ok_or(Fault::TimedOut)?
+    }
+
+    /// Reads the head of a response.
+    pub(super) async fn response_head(
+        &mut self,
+        limits: &Limits,
+        wait: Duration,
+    ) -> Result<::http::response::Parts, Fault> {
+        let mut decoder = ResponseHeadDecoder;
+        let head = self.head(&mut decoder, limits.head_bytes);
+        clock::timeout(wait, head).await.ok_or(Fault::TimedOut)?
+    }
+
+    /// Reads the body that `headers` declare.
+    pub(super) async fn body(
+        &mut self,
+        headers: &HeaderMap,
+        limits: &Limits,
+    ) -> Result<Bytes, Fault> {
+        let length = match declared(headers)? {
+            Length::Known(length) if length > limits.body_bytes => {
+                return Err(Fault::BodyTooLarge);
+            }
+            Length::Known(length) => length,
+            Length::Chunked => return Err(Fault::LengthRequired),
+        };
+        let read = async {
+            while self.buffer.len() < length {
+                if !self.fill().await? {
+                    return Err(Fault::Closed);
+                }
+            }
+            Ok(self.buffer.split_to(length).freeze())
+        };
+        clock::timeout(limits.message, read)
+            .await
+            .ok_or(Fault::TimedOut)?
+    }
+
+    /// Reads and forgets some input; false at the end of the stream.
+    pub(super) async fn discard(&mut self) -> bool {
+        self.buffer.clear();
+        self.fill().await.unwrap_or(false)
+    }
+
+    async fn head<D: Decoder>(&mut self, decoder: &mut D, limit: usize) -> Result<D::Item, Fault> {
+        loop {
+            match decoder.decode(&mut self.buffer) {
+                Ok(Decoded::Some(head)) => return Ok(head),
+                Ok(_) if self.buffer.len() > limit => return Err(Fault::HeadTooLarge),
+                Ok(_) => {}
+                Err(_) => return Err(Fault::Malformed),
+            }
+            if !self.fill().await? {
+                let fault = if self.buffer.is_empty() {
+                    Fault::Closed
+                } else {
+                    Fault::Malformed
+                };
+                return Err(fault);
+            }
+        }
+    }
+
+    async fn fill(&mut self) -> Result<bool, Fault> {
+        let chunk = Vec::with_capacity(CHUNK_BYTES);
+        let (result, chunk) = self.io.read(chunk).await;
+        match result {
+            Ok(0) => Ok(false),
+            Ok(read) => {
+                self.buffer.extend_from_slice(&chunk[..read]);
+                Ok(true)
+            }
+            Err(_) => Err(Fault::Io),
+        }
+    }
+}
+
+fn declared(headers: &HeaderMap) -> Result<Length, Fault> {
+    if headers.contains_key(header::TRANSFER_ENCODING) {
+        return Ok(Length::Chunked);
+    }
+    let mut lengths = headers.get_all(header::CONTENT_LENGTH).iter();
+    let Some(first) = lengths.next() else {
+        return Ok(Length::Known(0));
+    };
+    // Two lengths are two opinions about where the next message begins.
+    if lengths.any(|it| it != first) {
+        return Err(Fault::Malformed);
+    }
+    let text = first.to_str().map_err(|_| Fault::Malformed)?;
+    let digits = !text.is_empty() && text.bytes().all(|it| it.is_ascii_digit());
+    if !digits {
+        return Err(Fault::Malformed);
+    }
+    text.parse()
+        .map(Length::Known)
+        .map_err(|_| Fault::BodyTooLarge)
+}
--- /dev/null
+++ b/crates/bluebellpath/src/platform/error.rs
@@ -0,0 +1,57 @@
+//! Errors of the platform.
+
+use derive_more::{Display, Error};
+
+/// Request that failed.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Step {
+    /// Read of rows by key.
+    #[display("read rows")]
+    Read,
+    /// Scan of rows by prefix.
+    #[display("scan rows")]
+    Scan,
+    /// Transaction.
+    #[display("commit")]
+    Commit,
+    /// Write of an object.
+    #[display("put object")]
+    Put,
+    /// Read of an object.
+    #[display("get object")]
+    Get,
+    /// Listing of objects.
+    #[display("list objects")]
+    List,
+    /// Instance list.
+    #[display("list instances")]
+    Instances,
+}
+
+/// What is known of a failed request.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Fault {
+    /// Certainly had no effect.
+    #[display("refused")]
+    Refused,
+    /// May have taken effect.
+    #[display("outcome unknown")]
+    Unknown,
+    /// Answer that can't be understood.
+    #[display("malformed answer")]
+    Malformed,
+}
+
+/// Failed request to the platform.
+#[derive(Clone, Debug, Display, Error)]
+#[display("{step} at platform {peer}: {fault}: {detail}")]
+pub struct Error {
+    /// Request that failed.
+    pub step: Step,
+    /// Address or name of the platform's service.
+    pub peer: String,
+    /// What is known of its effect.
+    pub fault: Fault,
+    /// Cause, for people.
+    pub detail: String,
+}
--- /dev/null
+++ b/crates/bluebellpath/src/platform/mod.rs
@@ -0,0 +1,22 @@
+/*!
+The platform: a transactional table, an object store, a lagging instance list.
+
+Each is a trait with one method per request. An implementation makes one
+attempt and reports what is known of it; retries, budgets and the handling of
+lost answers stand above, where their policy can be tested against fakes.
+
+A failed write is of one of two kinds, and the difference decides what may be
+claimed later: [`Fault::Refused`] never took effect, [`Fault::Unknown`] may
+have.
+*/
+
+mod error;
+pub mod http;
+mod instance;
+mod object;
+mod table;
+
+pub use error::{Error, Fault, Step};
+pub use instance::{Instance, List, Role, State};
+pub use object::Store;
+pub use table::{Commit, Conflict, Expect, Item, Row, Table, Write};
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,38 @@
+//! The operators' tool.
+
+mod demo;
+
+use std::process::ExitCode;
+
+use clap::{Arg, Command, value_parser};
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    match matches.subcommand() {
+        Some(("demo", matches)) => {
+            let jobs = *matches.get_one("jobs").expect("clap fills in the default");
+            let seed = *matches.get_one("seed").expect("clap fills in the default");
+            demo::run(&demo::Config { jobs, seed })
+        }
+        _ => ExitCode::FAILURE,
+    }
+}
+
+fn command() -> Command {
+    let number = |name: &'static str, default: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .default_value(default)
+            .value_parser(value_parser!(u64))
+    };
+    Command::new("bluebellpath")
+        .about("Operates bluebellpath")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("demo")
+                .about("Runs real jobs against stand-ins in this process")
+                .arg(number("jobs", "60").help("Jobs to submit"))
+                .arg(number("seed", "1").help("Seed of the jobs")),
+        )
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -1,1 +1,23 @@
-//! Crate.
+/*!
+Which task goes to which target, and when.
+
+A [`Dispatcher`] holds the jobs that wait at one entry instance and the slots
+that this instance may use. It does no I/O: the entry instance tells it what
+happens ([`Dispatcher::submit`], [`Dispatcher::finish`]) and asks it what to
+start next ([`Dispatcher::next`]). Work waits here and not in a target's queue,
+because here it can still be reordered and cancelled for nothing.
+*/
+
+mod assignment;
+mod dispatcher;
+mod job;
+mod refusal;
+mod report;
+mod target;
+
+pub use assignment::Assignment;
+pub use dispatcher::{Config, Dispatcher};
+pub use job::{Dropped, Job, JobId, KindId, Task, TeamId};
+pub use refusal::{Reason, Refusal};
+pub use report::{Ending, Next, NotStarted, Report};
+pub use target::{Target, TargetId};
--- /dev/null
+++ b/crates/standin/src/fault.rs
@@ -0,0 +1,72 @@
+//! Faults of the platform's services.
+
+use std::{cell::Cell, time::Duration};
+
+use bluebellpath::platform::{Error, Fault, Step};
+use bluebellpath_runtime::clock;
+
+/// Faults of one service, switched by a test.
+pub struct Faults {
+    /// Refuses every request.
+    pub down: Cell<bool>,
+    /// Answers that get lost after the request took effect.
+    pub lose_answers: Cell<u32>,
+    /// Time that a read takes.
+    pub read: Cell<Duration>,
+    /// Time that a write takes.
+    pub write: Cell<Duration>,
+    /// Requests so far.
+    pub requests: Cell<u64>,
+}
+
+impl Default for Faults {
+    /// No faults; reads take 1 ms, synced writes 5 ms.
+    fn default() -> Faults {
+        Faults {
+            down: Cell::new(false),
+            lose_answers: Cell::new(0),
+            read: Cell::new(Duration::from_millis(1)),
+            write: Cell::new(Duration::from_millis(5)),
+            requests: Cell::new(0),
+        }
+    }
+}
+
+impl Faults {
+    /// Lets a request in after half of its time, unless the service is down.
+    pub(crate) async fn enter(&self, step: Step) -> Result<(), Error> {
+        self.requests.set(self.requests.get() + 1);
+        clock::sleep(self.time(step) / 2).await;
+        if self.down.get() {
+            return Err(error(step, Fault::Refused, "service is down"));
+        }
+        Ok(())
+    }
+
+    /// Lets an answer out after the other half, unless it gets lost.
+    pub(crate) async fn leave<T>(&self, step: Step, answer: T) -> Result<T, Error> {
+        clock::sleep(self.time(step) / 2).await;
+        let lose = self.lose_answers.get();
+        if lose > 0 {
+            self.lose_answers.set(lose - 1);
+            return Err(error(step, Fault::Unknown, "answer lost"));
+        }
+        Ok(answer)
+    }
+
+    fn time(&self, step: Step) -> Duration {
+        match step {
+            Step::Commit | Step::Put => self.write.get(),
+            Step::Read | Step::Scan | Step::Get | Step::List | Step::Instances => self.read.get(),
+        }
+    }
+}
+
+fn error(step: Step, fault: Fault, detail: &str) -> Error {
+    Error {
+        step,
+        peer: "stand-in".to_owned(),
+        fault,
+        detail: detail.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/network.rs
@@ -0,0 +1,191 @@
+//! Network between entry instances, in memory, with cuts.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{HashMap, HashSet, VecDeque},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use bluebellpath::peer::{Datagram, Error, Fault, Handler, Link, Reply, Request, Step};
+use bluebellpath_runtime::{LocalFuture, Notify, Scope, clock};
+
+/// Time after which a call over a cut connection is given up.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
+#[derive(Default)]
+struct Port {
+    inbox: RefCell<VecDeque<Datagram>>,
+    arrived: Notify,
+    handler: RefCell<Option<(Rc<dyn Handler>, Scope)>>,
+}
+
+#[derive(Default)]
+struct Inner {
+    ports: RefCell<HashMap<SocketAddr, Rc<Port>>>,
+    cuts: RefCell<HashSet<(SocketAddr, SocketAddr)>>,
+    one_way: Cell<Duration>,
+    datagrams: Cell<u64>,
+    bytes: Cell<u64>,
+    calls: Cell<u64>,
+}
+
+/// Network between entry instances; clones share it.
+#[derive(Clone, Default)]
+pub struct Network(Rc<Inner>);
+
+impl Network {
+    /// Network whose messages take `one_way`.
+    pub fn new(one_way: Duration) -> Network {
+        let network = Network::default();
+        network.0.one_way.set(one_way);
+        network
+    }
+
+    /// Link of the instance at `address`, whose handler runs in `scope`.
+    pub fn node(&self, address: SocketAddr, scope: Scope) -> Node {
+        // A fresh port: a replaced instance does not get its predecessor's mail.
+        let port = Rc::new(Port::default());
+        self.0.ports.borrow_mut().insert(address, port.clone());
+        Node {
+            network: self.clone(),
+            address,
+            port,
+            scope,
+        }
+    }
+
+    /// Takes the instance at `address` off the network.
+    pub fn remove(&self, address: SocketAddr) {
+        self.0.ports.borrow_mut().remove(&address);
+    }
+
+    /// Cuts the way between `a` and `b`, both ways.
+    pub fn cut(&self, a: SocketAddr, b: SocketAddr) {
+        self.0.cuts.borrow_mut().extend([(a, b), (b, a)]);
+    }
+
+    /// Mends the way between `a` and `b`.
+    pub fn mend(&self, a: SocketAddr, b: SocketAddr) {
+        let mut cuts = self.0.cuts.borrow_mut();
+        cuts.remove(&(a, b));
+        cuts.remove(&(b, a));
+    }
+
+    /// Datagrams sent so far.
+    pub fn datagrams(&self) -> u64 {
+        self.0.datagrams.get()
+    }
+
+    /// Bytes in datagrams sent so far.
+    pub fn bytes(&self) -> u64 {
+        self.0.bytes.get()
+    }
+
+    /// Calls made so far.
+    pub fn calls(&self) -> u64 {
+        self.0.calls.get()
+    }
+
+    fn is_cut(&self, a: SocketAddr, b: SocketAddr) -> bool {
+        self.0.cuts.borrow().contains(&(a, b))
+    }
+
+    fn port(&self, address: SocketAddr) -> Option<Rc<Port>> {
+        self.0.ports.borrow().get(&address).cloned()
+    }
+}
+
+/// Link of one instance.
+pub struct Node {
+    network: Network,
+    address: SocketAddr,
+    port: Rc<Port>,
+    scope: Scope,
+}
+
+impl Node {
+    fn error(&self, step: Step, peer: SocketAddr, fault: Fault, detail: &str) -> Error {
+        Error {
+            step,
+            peer,
+            fault,
+            detail: detail.to_owned(),
+        }
+    }
+}
+
+impl Link for Node {
+    fn send(&self, to: SocketAddr, bytes: &[u8]) {
+        let (network, from) = (self.network.clone(), self.address);
+        network.0.datagrams.set(network.0.datagrams.get() + 1);
+        network
+            .0
+            .bytes
+            .set(network.0.bytes.get() + bytes.len() as u64);
+        let datagram = Datagram {
+            from,
+            bytes: bytes.to_vec(),
+        };
+        drop(Scope::new().spawn(async move {
+            clock::sleep(network.0.one_way.get()).await;
+            if network.is_cut(from, to) {
+                return;
+            }
+            if let Some(port) = network.port(to) {
+                port.inbox.borrow_mut().push_back(datagram);
+                port.arrived.notify();
+            }
+        }));
+    }
+
+    fn receive(&self) -> LocalFuture<'_, Datagram> {
+        Box::pin(async move {
+            loop {
+                let arrived = self.port.arrived.notified();
+                if let Some(datagram) = self.port.inbox.borrow_mut().pop_front() {
+                    return datagram;
+                }
+                arrived.await;
+            }
+        })
+    }
+
+    fn call(&self, to: SocketAddr, request: Request) -> LocalFuture<'_, Result<Reply, Error>> {
+        Box::pin(async move {
+            let network = &self.network;
+            network.0.calls.set(network.0.calls.get() + 1);
+            clock::sleep(network.0.one_way.get()).await;
+            let port = network
+                .port(to)
+                .filter(|_| !network.is_cut(self.address, to));
+            let serving = port.and_then(|it| {
+                it.handler
+                    .borrow()
+                    .as_ref()
+                    .map(|(handler, scope)| (handler.clone(), scope.clone()))
+            });
+            let Some((handler, scope)) = serving.filter(|(_, scope)| scope.is_alive()) else {
+                let fault = Fault::NotSent;
+                return Err(self.error(Step::Connect, to, fault, "no way to this peer"));
+            };
+            let reply = scope.spawn(async move { handler.handle(request).await });
+            // A peer that dies ends the wait at once, as a reset would; one
+            // that is cut off or paused says nothing.
+            let Some(reply) = reply.await else {
+                return Err(self.error(Step::Receive, to, Fault::Unknown, "peer is gone"));
+            };
+            clock::sleep(network.0.one_way.get()).await;
+            if network.is_cut(to, self.address) {
+                clock::sleep(CALL_TIMEOUT).await;
+                return Err(self.error(Step::Receive, to, Fault::Unknown, "no reply"));
+            }
+            Ok(reply)
+        })
+    }
+
+    fn serve(&self, handler: Rc<dyn Handler>) {
+        *self.port.handler.borrow_mut() = Some((handler, self.scope.clone()));
+    }
+}
--- /dev/null
+++ b/crates/standin/src/serve/mod.rs
@@ -0,0 +1,7 @@
+//! Stand-ins as HTTP servers.
+
+mod platform;
+mod target;
+
+pub use platform::Platform;
+pub use target::Target;
