Write job ids as text in JSON and compactly on the wire

Cause: an answer showed {"Key": ...} to callers, and a frame could carry a key that the door would refuse. Change: serde for Id by hand; keys from the wire are checked as at the door.

--- a/crates/bluebellpath/src/job/id.rs
+++ b/crates/bluebellpath/src/job/id.rs
@@ -1,9 +1,12 @@
 //! Ids of jobs.
 
-use std::str::FromStr;
+use std::{fmt, str::FromStr};
 
 use derive_more::{Display, Error, From};
-use serde::{Deserialize, Serialize};
+use serde::{
+    Deserialize, Deserializer, Serialize, Serializer,
+    de::{self, EnumAccess, VariantAccess, Visitor},
+};
 
 use super::{Incarnation, Key, Ticket};
 use crate::settings::Domain;
@@ -12,9 +15,10 @@
 const TICKET_PREFIX: &str = "ticket.";
 
 /// Id of a job.
-#[derive(
-    Clone, Debug, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+///
+/// Written as its text in JSON and in a compact form on the wire; ids are in
+/// every message, so both are written by hand.
+#[derive(Clone, Debug, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Id {
     /// Handed out by an entry instance.
     Ticket(Ticket),
@@ -61,3 +65,59 @@
     let canonical = ticket.to_string()[TICKET_PREFIX.len()..] == *rest;
     (parts.next().is_none() && canonical).then_some(ticket)
 }
+
+/// Name of the enum in self-describing formats that are not for people.
+const ENUM: &str = "Id";
+
+/// Names of the variants, in the order of their numbers on the wire.
+const VARIANTS: &[&str] = &["Ticket", "Key"];
+
+impl Serialize for Id {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        if serializer.is_human_readable() {
+            return serializer.collect_str(self);
+        }
+        match self {
+            Id::Ticket(it) => serializer.serialize_newtype_variant(ENUM, 0, VARIANTS[0], it),
+            Id::Key(it) => serializer.serialize_newtype_variant(ENUM, 1, VARIANTS[1], it),
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for Id {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Id, D::Error> {
+        if deserializer.is_human_readable() {
+            deserializer.deserialize_str(IdVisitor)
+        } else {
+            deserializer.deserialize_enum(ENUM, VARIANTS, IdVisitor)
+        }
+    }
+}
+
+struct IdVisitor;
+
+impl<'de> Visitor<'de> for IdVisitor {
+    type Value = Id;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a job id")
+    }
+
+    fn visit_str<E: de::Error>(self, text: &str) -> Result<Id, E> {
+        text.parse().map_err(E::custom)
+    }
+
+    fn visit_enum<A: EnumAccess<'de>>(self, access: A) -> Result<Id, A::Error> {
+        match access.variant::<u32>()? {
+            (0, variant) => variant.newtype_variant().map(Id::Ticket),
+            (1, variant) => {
+                // Frames come from outside: a key is checked here as it is at the door.
+                let key: Key = variant.newtype_variant()?;
+                Key::new(key.as_str())
+                    .map(Id::Key)
+                    .ok_or_else(|| de::Error::custom(ParseError::Key))
+            }
+            (other, _) => Err(de::Error::custom(format_args!("no job id variant {other}"))),
+        }
+    }
+}
