Check settings files as a whole and report every fault at its place

Cause: serde stopped at the first fault and knew neither column nor nearest name. Measured: before, one fault a run; after, all 6 faults of the test's file in one run. Conclusion: a file is mended in one pass, and a wrong unit can't slip in.

--- a/crates/bluebellpath/src/daemon/mod.rs
+++ b/crates/bluebellpath/src/daemon/mod.rs
@@ -7,7 +7,7 @@
 
 pub use error::{Error, Step};
 
-use std::{rc::Rc, time::Duration};
+use std::rc::Rc;
 
 use bluebellpath_runtime::{Scope, clock};
 use monoio::net::TcpListener;
@@ -18,7 +18,7 @@
     caller::Api,
     config::{Current, Document},
     entry::{Config, Entry, Env},
-    http::{Client, ClientConfig, Limits, Server},
+    http::{Client, ClientConfig, Server},
     job::Incarnation,
     log,
     peer::Offline,
@@ -27,9 +27,6 @@
     target,
 };
 
-/// Longest wait for an answer of the platform.
-const PLATFORM_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// Runs an entry instance until its listener closes.
 pub async fn run(settings: Settings) -> Result<(), Error> {
     let listener = TcpListener::bind(settings.listen).map_err(|error| Error {
@@ -49,7 +46,7 @@
     let platform = Rc::new(platform::http::Http::new(
         client.clone(),
         settings.platform,
-        PLATFORM_TIMEOUT,
+        settings.platform_timeout,
     ));
     let env = Env {
         table: platform.clone(),
@@ -63,16 +60,17 @@
     let config = Config {
         domain: settings.home().unwrap_or(crate::settings::Domain::new(0)),
         domains: settings.domains.len() as u16,
+        max_jobs: settings.max_jobs,
         ..Config::new(&settings.name, incarnation, settings.listen)
     };
     let entry = Entry::new(config, env);
     let scope = Scope::new();
     let serving = {
-        let entry = entry.clone();
+        let (entry, limits) = (entry.clone(), settings.http);
         scope.spawn(async move {
             entry.start();
             let api = Rc::new(Api::new(entry));
-            Server::new(listener, api, Limits::default()).run().await;
+            Server::new(listener, api, limits).run().await;
         })
     };
     info!(log, "serving"; "address" => %settings.listen, "domain" => &settings.domain);
--- a/crates/bluebellpath/src/http/limits.rs
+++ b/crates/bluebellpath/src/http/limits.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 /// Limits on one side's messages.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
     /// Largest head in bytes.
     pub head_bytes: usize,
--- /dev/null
+++ b/crates/bluebellpath/src/settings/drain.rs
@@ -0,0 +1,38 @@
+//! Times of a planned stop.
+
+use std::time::Duration;
+
+use super::{
+    rule::{TIMEOUT, WAIT},
+    section::Section,
+};
+
+/// Times of a planned stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Drain {
+    /// Time for which a stopping instance still accepts new requests, while
+    /// the balancer learns that it is not ready.
+    pub grace: Duration,
+    /// Longest time for the requests in progress after that.
+    pub limit: Duration,
+}
+
+impl Default for Drain {
+    /// 5 s for the balancer, 60 s for requests in progress.
+    fn default() -> Drain {
+        Drain {
+            grace: Duration::from_secs(5),
+            limit: Duration::from_secs(60),
+        }
+    }
+}
+
+impl Drain {
+    pub(super) fn read(section: &Section<'_>) -> Drain {
+        let default = Drain::default();
+        Drain {
+            grace: section.optional("grace", &WAIT).unwrap_or(default.grace),
+            limit: section.optional("limit", &TIMEOUT).unwrap_or(default.limit),
+        }
+    }
+}
--- a/crates/bluebellpath/src/settings/error.rs
+++ b/crates/bluebellpath/src/settings/error.rs
@@ -2,21 +2,28 @@
 
 use derive_more::{Display, Error};
 
+use super::Fault;
+
 /// Settings that can't be used.
 #[derive(Clone, Debug, Display, Error)]
 pub enum Error {
-    /// The file can't be read.
+    /// A file or variable can't be read.
     #[display("{path}: {detail}")]
     Read {
-        /// Path of the file.
+        /// Path of the file, or name of the variable.
         path: String,
         /// Cause.
         detail: String,
     },
-    /// The text is no settings document.
-    #[display("{detail}")]
-    Parse {
-        /// Cause, with its place.
-        detail: String,
+    /// The document has faults.
+    #[display("{}", lines(faults))]
+    Invalid {
+        /// All of them, in the order of their places.
+        faults: Vec<Fault>,
     },
 }
+
+fn lines(faults: &[Fault]) -> String {
+    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
--- /dev/null
+++ b/crates/bluebellpath/src/settings/fault.rs
@@ -0,0 +1,34 @@
+//! Faults of a settings file.
+
+use std::fmt;
+
+/// One fault of a settings file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// Line, from 1.
+    pub line: usize,
+    /// Column in characters, from 1.
+    pub column: usize,
+    /// Path of the field, such as `http.idle`; empty for the whole document.
+    pub field: String,
+    /// What was found there.
+    pub found: String,
+    /// What is allowed there.
+    pub allowed: String,
+    /// Known name that comes nearest to an unknown one.
+    pub nearest: Option<String>,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}: ", self.line, self.column)?;
+        if !self.field.is_empty() {
+            write!(f, "{}: ", self.field)?;
+        }
+        write!(f, "found {}, allowed: {}", self.found, self.allowed)?;
+        match &self.nearest {
+            Some(nearest) => write!(f, " (did you mean `{nearest}`?)"),
+            None => Ok(()),
+        }
+    }
+}
--- a/crates/bluebellpath/src/settings/process.rs
+++ b/crates/bluebellpath/src/settings/process.rs
@@ -1,14 +1,19 @@
 //! Settings of an entry daemon.
 
-use std::{fs, net::SocketAddr, path::Path};
+use std::{fs, net::SocketAddr, path::Path, time::Duration};
 
-use serde::Deserialize;
+use jsonc_parser::{CollectOptions, ParseOptions, ast, parse_to_ast};
+use slog::Level;
 
-use super::{Domain, Error};
+use super::{
+    Domain, Drain, Error, Peers,
+    rule::{ADDRESS, BODY, HEAD, JOBS, LEVEL, NAME, NAMES, TIMEOUT},
+    section::{Section, Source},
+};
+use crate::http::Limits;
 
 /// Settings of an entry daemon.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Name in the instance list.
     pub name: String,
@@ -20,9 +25,40 @@
     pub listen: SocketAddr,
     /// Address of the platform.
     pub platform: SocketAddr,
+    /// Longest wait for an answer of the platform.
+    pub platform_timeout: Duration,
+    /// Peers; `None` for an instance that has none.
+    pub peers: Option<Peers>,
+    /// Limits on what callers send.
+    pub http: Limits,
+    /// Times of a planned stop.
+    pub drain: Drain,
+    /// Most jobs that are kept, answered ones included.
+    pub max_jobs: usize,
+    /// Least severe message that is logged.
+    pub log_level: Level,
 }
 
 impl Settings {
+    /// Settings of the instance `name` in the only domain `domain`: 5 s for
+    /// the platform, no peers, 100,000 jobs, messages from `info` on, else the
+    /// defaults of [`Limits`] and [`Drain`].
+    pub fn new(name: &str, domain: &str, listen: SocketAddr, platform: SocketAddr) -> Settings {
+        Settings {
+            name: name.to_owned(),
+            domains: vec![domain.to_owned()],
+            domain: domain.to_owned(),
+            listen,
+            platform,
+            platform_timeout: Duration::from_secs(5),
+            peers: None,
+            http: Limits::default(),
+            drain: Drain::default(),
+            max_jobs: 100_000,
+            log_level: Level::Info,
+        }
+    }
+
     /// Reads the settings file at `path`.
     pub fn load(path: &Path) -> Result<Settings, Error> {
         let text = fs::read_to_string(path).map_err(|error| Error::Read {
@@ -34,16 +70,25 @@
 
     /// Parses settings written as JSON with comments.
     pub fn parse(text: &str) -> Result<Settings, Error> {
-        let parse = |detail: String| Error::Parse { detail };
-        let options = Default::default();
-        let settings: Settings = jsonc_parser::parse_to_serde_value(text, &options)
-            .map_err(|error| parse(error.to_string()))?;
-        match settings.home() {
-            Some(_) => Ok(settings),
-            None => Err(parse(format!(
-                "domain: {} is not in domains",
-                settings.domain
-            ))),
+        let source = Source::new(text);
+        let settings = match parse_to_ast(text, &CollectOptions::default(), &strict()) {
+            Ok(parsed) => match &parsed.value {
+                Some(ast::Value::Object(object)) => read(&source, object),
+                _ => {
+                    source.report(0, "", "no object".to_owned(), "an object of settings");
+                    None
+                }
+            },
+            Err(error) => {
+                let place = error.range().start;
+                source.report(place, "", error.kind().to_string(), "JSON with comments");
+                None
+            }
+        };
+        let faults = source.faults();
+        match settings {
+            Some(settings) if faults.is_empty() => Ok(settings),
+            _ => Err(Error::Invalid { faults }),
         }
     }
 
@@ -53,3 +98,79 @@
         Some(Domain::new(index as u16))
     }
 }
+
+/// Comments and trailing commas, but none of JSON5's other spellings.
+fn strict() -> ParseOptions {
+    ParseOptions {
+        allow_comments: true,
+        allow_trailing_commas: true,
+        allow_loose_object_property_names: false,
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        allow_hexadecimal_numbers: false,
+        allow_unary_plus_numbers: false,
+        allow_bare_decimal_point_numbers: false,
+        allow_non_finite_numbers: false,
+        allow_extended_string_escapes: false,
+    }
+}
+
+fn read<'a>(source: &'a Source<'a>, object: &'a ast::Object<'a>) -> Option<Settings> {
+    let root = Section::new(source, object);
+    let name = root.required("name", &NAME);
+    let domains = root.required("domains", &NAMES);
+    let domain = root.required("domain", &NAME);
+    let listen = root.required("listen", &ADDRESS);
+    let platform = root.required("platform", &ADDRESS);
+    let platform_timeout = root.optional("platform_timeout", &TIMEOUT);
+    let peers = root.section("peers").and_then(|section| {
+        let peers = Peers::read(source, &section);
+        section.finish();
+        peers
+    });
+    let http = root.section("http").map(limits);
+    let drain = root.section("drain").map(|section| {
+        let drain = Drain::read(&section);
+        section.finish();
+        drain
+    });
+    let max_jobs = root.optional("max_jobs", &JOBS);
+    let log_level = root.optional("log_level", &LEVEL);
+    if let (Some(domains), Some(domain)) = (&domains, &domain)
+        && !domains.contains(domain)
+    {
+        let allowed = format!("one of {}", domains.join(", "));
+        let place = root.place_of("domain");
+        source.report(place, "domain", format!("{domain:?}"), &allowed);
+    }
+    root.finish();
+    let defaults = Settings::new(&name?, &domain?, listen?, platform?);
+    Some(Settings {
+        domains: domains?,
+        platform_timeout: platform_timeout.unwrap_or(defaults.platform_timeout),
+        peers,
+        http: http.unwrap_or(defaults.http),
+        drain: drain.unwrap_or(defaults.drain),
+        max_jobs: max_jobs.unwrap_or(defaults.max_jobs),
+        log_level: log_level.unwrap_or(defaults.log_level),
+        ..defaults
+    })
+}
+
+fn limits(section: Section<'_>) -> Limits {
+    let default = Limits::default();
+    let time = |name, default| section.optional(name, &TIMEOUT).unwrap_or(default);
+    let limits = Limits {
+        head_bytes: section
+            .optional("head", &HEAD)
+            .unwrap_or(default.head_bytes),
+        body_bytes: section
+            .optional("body", &BODY)
+            .unwrap_or(default.body_bytes),
+        idle: time("idle", default.idle),
+        message: time("message", default.message),
+        write: time("write", default.write),
+    };
+    section.finish();
+    limits
+}
--- /dev/null
+++ b/crates/bluebellpath/src/settings/section.rs
@@ -0,0 +1,197 @@
+//! One object of a settings file.
+
+use std::cell::RefCell;
+
+use jsonc_parser::{
+    ast::{Object, Value},
+    common::Ranged,
+};
+
+use super::{Fault, rule::Rule};
+
+/// Longest quotation of what was found, in characters.
+const MAX_QUOTED: usize = 40;
+
+/// Greatest edit distance at which a known name counts as near.
+const MAX_DISTANCE: usize = 3;
+
+/// Text of a settings file and the faults found in it so far.
+pub(super) struct Source<'a> {
+    text: &'a str,
+    faults: RefCell<Vec<(usize, Fault)>>,
+}
+
+impl<'a> Source<'a> {
+    pub(super) fn new(text: &'a str) -> Source<'a> {
+        Source {
+            text,
+            faults: RefCell::default(),
+        }
+    }
+
+    /// Reports a fault at the byte `place`.
+    pub(super) fn report(&self, place: usize, field: &str, found: String, allowed: &str) {
+        self.push(place, field, found, allowed.to_owned(), None);
+    }
+
+    /// All faults in the order of their places.
+    pub(super) fn faults(self) -> Vec<Fault> {
+        let mut faults = self.faults.into_inner();
+        faults.sort_by_key(|it| it.0);
+        faults.into_iter().map(|it| it.1).collect()
+    }
+
+    fn push(
+        &self,
+        place: usize,
+        field: &str,
+        found: String,
+        allowed: String,
+        nearest: Option<String>,
+    ) {
+        let before = &self.text[..place.min(self.text.len())];
+        let line_start = before.rfind('\n').map_or(0, |it| it + 1);
+        let fault = Fault {
+            line: before.matches('\n').count() + 1,
+            column: before[line_start..].chars().count() + 1,
+            field: field.to_owned(),
+            found,
+            allowed,
+            nearest,
+        };
+        self.faults.borrow_mut().push((place, fault));
+    }
+
+    fn quote(&self, value: &Value<'_>) -> String {
+        match value {
+            Value::Object(_) => "an object".to_owned(),
+            Value::Array(it) if it.elements.is_empty() => "an empty list".to_owned(),
+            _ => {
+                let text = value.text(self.text);
+                let mut quoted: String = text.chars().take(MAX_QUOTED).collect();
+                if quoted.len() < text.len() {
+                    quoted.push('…');
+                }
+                quoted
+            }
+        }
+    }
+}
+
+/// One object of a settings file, with the fields asked of it so far.
+pub(super) struct Section<'a> {
+    source: &'a Source<'a>,
+    path: String,
+    object: &'a Object<'a>,
+    known: RefCell<Vec<&'static str>>,
+}
+
+impl<'a> Section<'a> {
+    pub(super) fn new(source: &'a Source<'a>, object: &'a Object<'a>) -> Section<'a> {
+        Section {
+            source,
+            path: String::new(),
+            object,
+            known: RefCell::default(),
+        }
+    }
+
+    /// Place of the object in the text.
+    pub(super) fn place(&self) -> usize {
+        self.object.range.start
+    }
+
+    /// Place of the value of `name`, or of the object without one.
+    pub(super) fn place_of(&self, name: &str) -> usize {
+        let property = self.object.get(name);
+        property.map_or(self.place(), |it| it.value.range().start)
+    }
+
+    /// Path of the field `name`.
+    pub(super) fn field(&self, name: &str) -> String {
+        match self.path.as_str() {
+            "" => name.to_owned(),
+            path => format!("{path}.{name}"),
+        }
+    }
+
+    /// Value that must be there.
+    pub(super) fn required<T>(&self, name: &'static str, rule: &Rule<T>) -> Option<T> {
+        match self.value(name) {
+            Some(value) => self.parse(name, value, rule),
+            None => {
+                let found = "nothing".to_owned();
+                let field = self.field(name);
+                self.source
+                    .report(self.place(), &field, found, rule.allowed);
+                None
+            }
+        }
+    }
+
+    /// Value that may be there.
+    pub(super) fn optional<T>(&self, name: &'static str, rule: &Rule<T>) -> Option<T> {
+        self.value(name)
+            .and_then(|value| self.parse(name, value, rule))
+    }
+
+    /// Object that may be there.
+    pub(super) fn section(&self, name: &'static str) -> Option<Section<'a>> {
+        let value = self.value(name)?;
+        let Some(object) = value.as_object() else {
+            let found = self.source.quote(value);
+            let place = value.range().start;
+            self.source
+                .report(place, &self.field(name), found, "an object");
+            return None;
+        };
+        Some(Section {
+            path: self.field(name),
+            ..Section::new(self.source, object)
+        })
+    }
+
+    /// Reports fields that nobody asked for, and fields given twice.
+    pub(super) fn finish(self) {
+        let known = self.known.borrow();
+        for (index, property) in self.object.properties.iter().enumerate() {
+            let name = property.name.as_str();
+            let place = property.range.start;
+            let earlier = &self.object.properties[..index];
+            if earlier.iter().any(|it| it.name.as_str() == name) {
+                let found = "the field a second time".to_owned();
+                self.source
+                    .report(place, &self.field(name), found, "each field once");
+            } else if !known.contains(&name) {
+                let allowed = format!("one of {}", known.join(", "));
+                let found = "an unknown field".to_owned();
+                let nearest = nearest(name, &known);
+                self.source
+                    .push(place, &self.field(name), found, allowed, nearest);
+            }
+        }
+    }
+
+    fn value(&self, name: &'static str) -> Option<&'a Value<'a>> {
+        self.known.borrow_mut().push(name);
+        self.object.get(name).map(|it| &it.value)
+    }
+
+    fn parse<T>(&self, name: &str, value: &Value<'_>, rule: &Rule<T>) -> Option<T> {
+        let parsed = (rule.parse)(value);
+        if parsed.is_none() {
+            let found = self.source.quote(value);
+            let place = value.range().start;
+            self.source
+                .report(place, &self.field(name), found, rule.allowed);
+        }
+        parsed
+    }
+}
+
+fn nearest(name: &str, known: &[&str]) -> Option<String> {
+    let distance = |it: &&str| strsim::damerau_levenshtein(name, it);
+    let nearest = known.iter().copied().min_by_key(distance)?;
+    let near = distance(&nearest) <= MAX_DISTANCE.min(nearest.len() / 2);
+    near.then(|| nearest.to_owned())
+}
--- /dev/null
+++ b/crates/bluebellpath/tests/settings.rs
@@ -0,0 +1,219 @@
+//! Settings files: every fault in one go, each with its place.
+
+use std::{path::Path, time::Duration};
+
+use bluebellpath::settings::{Error, Fault, KeySource, Settings};
+use quickcheck::quickcheck;
+
+fn faults(text: &str) -> Vec<Fault> {
+    match Settings::parse(text) {
+        Err(Error::Invalid { faults }) => faults,
+        Err(error) => panic!("{error}"),
+        Ok(_) => Vec::new(),
+    }
+}
+
+/// Settings with `extra` among their fields.
+fn with(extra: &str) -> String {
+    format!(
+        r#"{{ "name": "a", "domains": ["d"], "domain": "d",
+"listen": "127.0.0.1:1", "platform": "127.0.0.1:2", {extra} }}"#
+    )
+}
+
+struct Case {
+    /// Field on the second line of the file, after the addresses.
+    extra: &'static str,
+    field: &'static str,
+    found: &'static str,
+    allowed: &'static str,
+    nearest: Option<&'static str>,
+}
+
+const CASES: &[Case] = &[
+    Case {
+        extra: r#""lissten": 1"#,
+        field: "lissten",
+        found: "an unknown field",
+        allowed: "one of name, domains, domain, listen",
+        nearest: Some("listen"),
+    },
+    Case {
+        extra: r#""frobnicate": 1"#,
+        field: "frobnicate",
+        found: "an unknown field",
+        allowed: "one of",
+        nearest: None,
+    },
+    Case {
+        extra: r#""name": "b""#,
+        field: "name",
+        found: "the field a second time",
+        allowed: "each field once",
+        nearest: None,
+    },
+    Case {
+        extra: r#""platform_timeout": 5"#,
+        field: "platform_timeout",
+        found: "5",
+        allowed: "a duration",
+        nearest: None,
+    },
+    Case {
+        extra: r#""platform_timeout": "5 h""#,
+        field: "platform_timeout",
+        found: "\"5 h\"",
+        allowed: "a duration",
+        nearest: None,
+    },
+    Case {
+        extra: r#""http": { "body": "99999999999999999999 MiB" }"#,
+        field: "http.body",
+        found: "\"99999999999999999999 MiB\"",
+        allowed: "a size",
+        nearest: None,
+    },
+    Case {
+        extra: r#""http": { "idel": "1 s" }"#,
+        field: "http.idel",
+        found: "an unknown field",
+        allowed: "one of head, body, idle",
+        nearest: Some("idle"),
+    },
+    Case {
+        extra: r#""http": []"#,
+        field: "http",
+        found: "an empty list",
+        allowed: "an object",
+        nearest: None,
+    },
+    Case {
+        extra: r#""peers": { "listen": "127.0.0.1:3" }"#,
+        field: "peers",
+        found: "neither",
+        allowed: "either `key_file` or `key_env`",
+        nearest: None,
+    },
+    Case {
+        extra: r#""peers": { "listen": "127.0.0.1:3", "key_env": "A", "key_file": "b" }"#,
+        field: "peers",
+        found: "both",
+        allowed: "either `key_file` or `key_env`",
+        nearest: None,
+    },
+    Case {
+        extra: r#""max_jobs": 0"#,
+        field: "max_jobs",
+        found: "0",
+        allowed: "a whole number from 1",
+        nearest: None,
+    },
+    Case {
+        extra: r#""log_level": "loud""#,
+        field: "log_level",
+        found: "\"loud\"",
+        allowed: "\"error\"",
+        nearest: None,
+    },
+];
+
+#[test]
+fn each_fault_says_what_and_where() {
+    for case in CASES {
+        let faults = faults(&with(case.extra));
+        assert_eq!(faults.len(), 1, "{}: {faults:?}", case.extra);
+        let fault = &faults[0];
+        assert_eq!(fault.line, 2, "{}", case.extra);
+        assert_eq!(fault.field, case.field, "{}", case.extra);
+        assert_eq!(fault.found, case.found, "{}", case.extra);
+        assert!(fault.allowed.contains(case.allowed), "{fault}");
+        assert_eq!(fault.nearest.as_deref(), case.nearest, "{}", case.extra);
+    }
+}
+
+#[test]
+fn all_faults_come_in_one_go_in_their_order() {
+    let text = "{\n  // ñandú\n  \"name\": 7,\n  \"domains\": [\"a\", \"a\"],\n  /* ñ */ \"listen\": \"nowhere\",\n  \"extra\": 1\n}";
+    let found: Vec<(usize, usize, String)> = faults(text)
+        .into_iter()
+        .map(|it| (it.line, it.column, it.field))
+        .collect();
+    let expected = [
+        (1, 1, "domain"),
+        (1, 1, "platform"),
+        (3, 11, "name"),
+        (4, 14, "domains"),
+        (5, 21, "listen"),
+        (6, 3, "extra"),
+    ];
+    let expected: Vec<_> = expected
+        .iter()
+        .map(|it| (it.0, it.1, it.2.to_owned()))
+        .collect();
+    assert_eq!(found, expected);
+}
+
+#[test]
+fn a_syntax_error_has_its_place() {
+    for (text, line) in [("", 1), ("[1]", 1), ("{\n  \"name\" 1\n}", 2), ("{\n", 1)] {
+        let faults = faults(text);
+        assert_eq!(faults.len(), 1, "{text}: {faults:?}");
+        assert_eq!(faults[0].line, line, "{text}");
+    }
+}
+
+#[test]
+fn units_are_read() {
+    let text = with(
+        r#""platform_timeout": "250ms", "drain": { "grace": "0 s", "limit": "2 min" }, "http": { "body": "2 MiB" }"#,
+    );
+    let settings = Settings::parse(&text).expect("the settings are valid");
+    assert_eq!(settings.platform_timeout, Duration::from_millis(250));
+    assert_eq!(settings.drain.grace, Duration::ZERO);
+    assert_eq!(settings.drain.limit, Duration::from_secs(120));
+    assert_eq!(settings.http.body_bytes, 2 << 20);
+    assert_eq!(settings.http.idle, Duration::from_secs(60));
+}
+
+#[test]
+fn every_example_loads() {
+    let examples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    for (file, domains, peers) in [
+        ("local.jsonc", 1, false),
+        ("guild.jsonc", 4, true),
+        ("calortec.jsonc", 4, true),
+    ] {
+        let settings = Settings::load(&examples.join(file));
+        let settings = settings.unwrap_or_else(|error| panic!("{file}: {error}"));
+        assert_eq!(settings.domains.len(), domains, "{file}");
+        assert_eq!(settings.peers.is_some(), peers, "{file}");
+    }
+}
+
+#[test]
+fn a_short_or_missing_key_is_an_error() {
+    let missing = KeySource::Variable("BLUEBELLPATH_TEST_NO_SUCH_KEY".to_owned());
+    assert!(missing.read().is_err());
+    let missing = KeySource::File("no/such/key".into());
+    assert!(missing.read().is_err());
+}
+
+quickcheck! {
+    fn no_text_panics(text: String) -> bool {
+        Settings::parse(&text).is_err()
+    }
+
+    fn no_damage_panics(at: usize, replacement: String) -> bool {
+        let mut text = with(r#""http": { "idle": "1 s" }, "peers": { "listen": "127.0.0.1:3", "key_env": "A" }"#);
+        let at = at % text.len();
+        text.replace_range(at..=at, &replacement);
+        match Settings::parse(&text) {
+            Ok(_) => true,
+            Err(Error::Invalid { faults }) => {
+                let lines = text.matches('\n').count() + 1;
+                !faults.is_empty() && faults.iter().all(|it| (1..=lines).contains(&it.line))
+            }
+            Err(Error::Read { .. }) => false,
+        }
+    }
+}
--- a/crates/bluebellpathd/src/main.rs
+++ b/crates/bluebellpathd/src/main.rs
@@ -1,8 +1,14 @@
 //! The entry daemon.
 
-use std::{path::PathBuf, process::ExitCode};
+use std::{
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
-use bluebellpath::{daemon, settings::Settings};
+use bluebellpath::{
+    daemon,
+    settings::{Error, Settings},
+};
 use bluebellpath_runtime::runtime;
 use clap::{Arg, ArgAction, Command, value_parser};
 
@@ -14,7 +20,7 @@
     let settings = match Settings::load(path) {
         Ok(settings) => settings,
         Err(error) => {
-            eprintln!("bluebellpathd: {error}");
+            report(path, &error);
             return ExitCode::FAILURE;
         }
     };
@@ -30,6 +36,18 @@
     }
 }
 
+/// Prints every fault on a line of its own, as compilers do.
+fn report(path: &Path, error: &Error) {
+    match error {
+        Error::Invalid { faults } => {
+            for fault in faults {
+                eprintln!("{}:{fault}", path.display());
+            }
+        }
+        Error::Read { .. } => eprintln!("bluebellpathd: {error}"),
+    }
+}
+
 fn command() -> Command {
     Command::new("bluebellpathd")
         .about("Takes jobs of callers and runs their tasks on the targets of its domain")
--- a/crates/cli/src/demo/system.rs
+++ b/crates/cli/src/demo/system.rs
@@ -50,13 +50,7 @@
             .map(|(index, it)| Ok(instance(index, it.local_addr()?)))
             .collect::<io::Result<Vec<Instance>>>()?;
         let (platform, entry) = (loopback()?, loopback()?);
-        let settings = Settings {
-            name: "demo".to_owned(),
-            domains: vec!["demo".to_owned()],
-            domain: "demo".to_owned(),
-            listen: entry.local_addr()?,
-            platform: platform.local_addr()?,
-        };
+        let settings = Settings::new("demo", "demo", entry.local_addr()?, platform.local_addr()?);
         let messages = Arc::new(AtomicU64::new(0));
         let system = System {
             entry: settings.listen,
