--- a/crates/bluebellpath/src/caller/service.rs
+++ b/crates/bluebellpath/src/caller/service.rs
@@ -39,7 +39,7 @@
         let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
         let routed = match (&request.method, parts.as_slice()) {
             (&Method::POST, ["tickets"]) => self.tickets(&request),
-            (&Method::POST, ["jobs"]) => self.submit(&request).await,
+            (&Method::POST, ["jobs"]) => self.submit(request).await,
             (&Method::GET, ["jobs", id]) => self.fetch(id).await,
             (&Method::DELETE, ["jobs", id]) => self.cancel(id).await,
             (_, ["tickets" | "jobs", ..]) => {
@@ -73,7 +73,7 @@
         Ok(Response::json(StatusCode::CREATED, &Tickets { tickets }))
     }
 
-    async fn submit(&self, request: &Request) -> Result<Response, Box<Problem>> {
+    async fn submit(&self, request: Request) -> Result<Response, Box<Problem>> {
         let id = match request.header(IDEMPOTENCY_KEY) {
             Some(text) => id(text)?,
             None => Ticket::into(self.entry.ticket()),
@@ -82,6 +82,8 @@
             let detail = format!("submission: {error}");
             Problem::not_run(StatusCode::BAD_REQUEST, "invalid", detail)
         })?;
+        // The body would else be held until the answer is there.
+        drop(request);
         let answer = self.entry.submit(id, submission).await.map_err(refused)?;
         Ok(answered(&answer))
     }
--- a/crates/bluebellpath/src/http/client.rs
+++ b/crates/bluebellpath/src/http/client.rs
@@ -205,7 +205,7 @@
 }
 
 struct Connection {
-    peer: SocketAddr,
+    host: HeaderValue,
     limits: Limits,
     reader: Reader<OwnedReadHalf<TcpStream>>,
     write: OwnedWriteHalf<TcpStream>,
@@ -214,8 +214,9 @@
 impl Connection {
     fn new(stream: TcpStream, peer: SocketAddr, limits: Limits) -> Connection {
         let (read, write) = stream.into_split();
+        let host = HeaderValue::from_str(&peer.to_string());
         Connection {
-            peer,
+            host: host.unwrap_or(HeaderValue::from_static("unknown")),
             limits,
             reader: Reader::new(read),
             write,
@@ -314,9 +315,7 @@
         *message.uri_mut() = target.parse().unwrap_or_default();
         *message.headers_mut() = request.headers;
         let headers = message.headers_mut();
-        if let Ok(host) = HeaderValue::from_str(&self.peer.to_string()) {
-            headers.insert(header::HOST, host);
-        }
+        headers.insert(header::HOST, self.host.clone());
         // Makes the codec write a length for requests without a body too.
         headers
             .entry(header::CONTENT_LENGTH)
--- a/crates/bluebellpath/src/http/reader.rs
+++ b/crates/bluebellpath/src/http/reader.rs
@@ -92,6 +92,14 @@
             .ok_or(Fault::TimedOut)?
     }
 
+    /// Gives back the buffer when nothing is left in it, so that a connection
+    /// whose answer is awaited holds none.
+    pub(super) fn release(&mut self) {
+        if self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
+        }
+    }
+
     /// Reads and forgets some input; false at the end of the stream.
     pub(super) async fn discard(&mut self) -> bool {
         self.buffer.clear();
@@ -118,6 +126,8 @@
     }
 
     async fn fill(&mut self) -> Result<bool, Fault> {
+        // Lending the buffer's free end to the socket instead costs more: the
+        // split and the shared count outweigh the copy of a small message.
         let chunk = Vec::with_capacity(CHUNK_BYTES);
         let (result, chunk) = self.io.read(chunk).await;
         match result {
--- a/crates/bluebellpath/src/http/server.rs
+++ b/crates/bluebellpath/src/http/server.rs
@@ -121,6 +121,7 @@
     let mut reader = Reader::new(read);
     while wait(&mut reader, &shared).await {
         let received = receive(&mut reader, &mut write, &shared.limits).await;
+        reader.release();
         let (response, keep) = match received {
             Ok((request, keep)) => (shared.service.call(request).await, keep),
             Err(fault) => match status(fault) {
