--- a/crates/standin/src/targets.rs
+++ b/crates/standin/src/targets.rs
@@ -3,6 +3,8 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    fs::File,
+    io::Write,
     rc::Rc,
     time::Duration,
 };
@@ -15,6 +17,8 @@
 use bluebellpath_runtime::{Instant, LocalFuture, Notify, clock};
 use serde::{Deserialize, Serialize};
 
+use crate::load::RunLine;
+
 /// Run time of a task whose payload names none.
 const DEFAULT_RUN_TIME: Duration = Duration::from_millis(100);
 
@@ -71,6 +75,7 @@
     stops: RefCell<HashMap<String, Rc<Stop>>>,
     one_way: Cell<Duration>,
     messages: Cell<u64>,
+    log: RefCell<Option<File>>,
 }
 
 #[derive(Default)]
@@ -106,6 +111,11 @@
             .insert(name.to_owned(), behaviour);
     }
 
+    /// Writes a line for each start to `file`, before the task runs.
+    pub fn log_to(&self, file: File) {
+        *self.0.log.borrow_mut() = Some(file);
+    }
+
     /// All starts that targets carried out, in their order.
     pub fn runs(&self) -> Vec<Run> {
         self.0.runs.borrow().clone()
@@ -185,7 +195,21 @@
         stop.asked.get()
     }
 
+    fn write(&self, start: Start<'_>) {
+        let mut log = self.0.log.borrow_mut();
+        let Some(file) = log.as_mut() else { return };
+        let line = RunLine {
+            task: start.task.to_string(),
+            target: start.target.name.clone(),
+        };
+        let text = serde_json::to_string(&line).unwrap_or_default();
+        if let Err(error) = writeln!(file, "{text}") {
+            eprintln!("bluebellpath-standin: a run could not be logged: {error}");
+        }
+    }
+
     fn begin(&self, start: Start<'_>) -> usize {
+        self.write(start);
         let mut runs = self.0.runs.borrow_mut();
         runs.push(Run {
             task: start.task.clone(),
