Authenticate heartbeats, bound their cost, and call peers over sockets

Cause: heartbeats were open to anyone, went from all to all, and daemons had no way to their peers. Change: sealed frames with replay refused; gossip with a byte budget, relays and probes; peers by typestate; Net over UDP and TCP with a key per connection; peers.listen and peers.key in the settings.

--- a/crates/bluebellpath/src/daemon/mod.rs
+++ b/crates/bluebellpath/src/daemon/mod.rs
@@ -7,7 +7,7 @@
 
 pub use error::{Error, Step};
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bluebellpath_runtime::{Scope, clock};
 use monoio::net::TcpListener;
@@ -21,7 +21,7 @@
     http::{Client, ClientConfig, Limits, Server},
     job::Incarnation,
     log,
-    peer::Offline,
+    peer::{self, Key, Link, Net, Offline},
     platform,
     settings::Settings,
     target,
@@ -37,12 +37,11 @@
         peer: settings.listen,
         detail: error.to_string(),
     })?;
-    serve(listener, &settings).await;
-    Ok(())
+    serve(listener, &settings).await
 }
 
 /// Runs an entry instance on a listener that is already bound.
-pub async fn serve(listener: TcpListener, settings: &Settings) {
+pub async fn serve(listener: TcpListener, settings: &Settings) -> Result<(), Error> {
     let incarnation = Incarnation::new(clock::wall(), rand::rng().random());
     let log = log::json(std::io::stderr(), &settings.name, incarnation);
     let client = Client::new(ClientConfig::default());
@@ -51,19 +50,21 @@
         settings.platform,
         PLATFORM_TIMEOUT,
     ));
+    let (link, membership, address) = peers(settings)?;
     let env = Env {
         table: platform.clone(),
         objects: platform.clone(),
         instances: platform,
         targets: Rc::new(target::Http::new(client)),
-        link: Rc::new(Offline),
+        link,
         config: Rc::new(Current::new(1, Document::default())),
         log: log.clone(),
     };
     let config = Config {
         domain: settings.home().unwrap_or(crate::settings::Domain::new(0)),
         domains: settings.domains.len() as u16,
-        ..Config::new(&settings.name, incarnation, settings.listen)
+        membership,
+        ..Config::new(&settings.name, incarnation, address)
     };
     let entry = Entry::new(config, env);
     let scope = Scope::new();
@@ -77,4 +78,24 @@
     };
     info!(log, "serving"; "address" => %settings.listen, "domain" => &settings.domain);
     serving.await;
+    Ok(())
+}
+
+/// Way to other instances, timing of heartbeats and address for peers.
+fn peers(settings: &Settings) -> Result<(Rc<dyn Link>, peer::Config, SocketAddr), Error> {
+    let Some(peers) = &settings.peers else {
+        return Ok((Rc::new(Offline), peer::Config::default(), settings.listen));
+    };
+    let key = Key::new(&peers.key);
+    let net = Net::bind(peers.listen, key, peer::net::Config::default());
+    let net = net.map_err(|error| Error {
+        step: Step::Listen,
+        peer: peers.listen,
+        detail: error.to_string(),
+    })?;
+    let membership = peer::Config {
+        key,
+        ..peer::Config::default()
+    };
+    Ok((Rc::new(net), membership, peers.listen))
 }
--- a/crates/bluebellpath/src/peer/heartbeat.rs
+++ b/crates/bluebellpath/src/peer/heartbeat.rs
@@ -13,6 +13,8 @@
     Serving,
     /// Finishing what it has; takes nothing new over.
     Draining,
+    /// Stopped; the sender's last word.
+    Left,
 }
 
 /// Work at an instance.
--- a/crates/bluebellpath/src/peer/membership.rs
+++ b/crates/bluebellpath/src/peer/membership.rs
@@ -1,38 +1,79 @@
-//! Entry instances that are there, from the list and from heartbeats.
+/*!
+Entry instances that are there, from the list and from heartbeats.
+
+Every interval an instance sends its heartbeat to a few peers, in an order that
+reaches each of them in turn, and tells along how lately it heard of some
+others. What it sends is bounded in bytes a second whatever the size of the
+domain: a larger domain makes the turn longer, and relays fill the gap. A peer
+that stays silent is asked directly before it is given up.
+
+A peer is accepted by its authenticated heartbeat, listed or not, as the list
+lags by half a minute. Whoever starts tells all listed instances at once and is
+answered by each; those that are not listed either come as news.
+*/
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::BTreeSet,
     net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
 
 use bluebellpath_runtime::{Instant, Notify, clock, spawn};
+use rand::{SeedableRng, rngs::StdRng, seq::SliceRandom};
 use serde::{Deserialize, Serialize};
 
-use super::{Datagram, Heartbeat, Link, Source};
+use super::{
+    Datagram, Heartbeat, Key, Link, Phase, Source, Tally, frame,
+    gossip::{Gossip, News, Relay},
+    herald::Herald,
+    roster::{Change, Refusal, Roster},
+    standing::{Limits, Standing},
+};
 use crate::{
     job::Incarnation,
     platform::{Instance, Role},
     settings::Domain,
 };
 
-/// Timing of a [`Membership`].
+/// Bytes that UDP and IP add to a datagram.
+const HEADER_BYTES: usize = 28;
+
+/// Silent peers that are asked directly in one interval.
+const PROBES: usize = 2;
+
+/// Factor by which relays shorten the time until all have heard of an instance.
+const RELAY_GAIN: usize = 3;
+
+/// Timing and size of a [`Membership`].
 #[derive(Clone, Copy, Debug)]
 pub struct Config {
     /// Time between two heartbeats.
     pub interval: Duration,
+    /// Silence after which a peer is asked for a sign of life.
+    pub suspect: Duration,
     /// Silence after which a peer counts as gone.
     pub timeout: Duration,
+    /// Peers that are told in one interval.
+    pub fanout: usize,
+    /// Bytes sent in a second, headers included, while nobody comes or goes.
+    pub bytes_per_s: usize,
+    /// Key that all entry instances share.
+    pub key: Key,
 }
 
 impl Default for Config {
-    /// A heartbeat each 500 ms, gone after 2 s.
+    /// A heartbeat each 500 ms to 3 peers, within 1,200 bytes/s; silent after
+    /// 1.5 s, gone after 3 s; the key of an empty secret.
     fn default() -> Config {
         Config {
             interval: Duration::from_millis(500),
-            timeout: Duration::from_secs(2),
+            suspect: Duration::from_millis(1_500),
+            timeout: Duration::from_secs(3),
+            fanout: 3,
+            bytes_per_s: 1_200,
+            key: Key::new(""),
         }
     }
 }
@@ -57,7 +98,7 @@
     pub identity: Identity,
     /// Its last heartbeat.
     pub heartbeat: Rc<Heartbeat>,
-    /// When that came.
+    /// Last sign of life, its own or as told by another peer.
     pub heard: Instant,
 }
 
@@ -67,7 +108,10 @@
     config: Config,
     link: Rc<dyn Link>,
     listed: RefCell<Vec<Instance>>,
-    peers: RefCell<BTreeMap<String, Rc<Peer>>>,
+    roster: RefCell<Roster>,
+    herald: RefCell<Herald>,
+    tally: RefCell<Tally>,
+    rng: RefCell<StdRng>,
     sequence: Cell<u64>,
     changed: Notify,
 }
@@ -75,12 +119,16 @@
 impl Membership {
     /// Membership as seen by `identity`.
     pub fn new(identity: Identity, link: Rc<dyn Link>, config: Config) -> Membership {
+        let seed = identity.incarnation.to_u64();
         Membership {
+            roster: RefCell::new(Roster::new(identity.clone(), clock::now())),
             identity,
             config,
             link,
             listed: RefCell::default(),
-            peers: RefCell::default(),
+            herald: RefCell::default(),
+            tally: RefCell::default(),
+            rng: RefCell::new(StdRng::seed_from_u64(seed)),
             sequence: Cell::new(0),
             changed: Notify::new(),
         }
@@ -99,13 +147,17 @@
 
     /// Peers of this domain that were heard of lately.
     pub fn peers(&self) -> Vec<Rc<Peer>> {
-        let now = clock::now();
-        let peers = self.peers.borrow();
-        peers
-            .values()
-            .filter(|it| now - it.heard <= self.config.timeout)
-            .cloned()
-            .collect()
+        self.age();
+        let roster = self.roster.borrow();
+        let there = roster.iter().filter(|it| it.is_there());
+        let peer = |it: &Standing| {
+            Rc::new(Peer {
+                identity: it.identity().clone(),
+                heartbeat: it.heartbeat().clone(),
+                heard: it.last(),
+            })
+        };
+        there.map(peer).collect()
     }
 
     /// Live peer of this domain with the given incarnation.
@@ -115,6 +167,12 @@
             .find(|it| it.identity.incarnation == incarnation)
     }
 
+    /// Every peer that is remembered, with its standing.
+    pub fn standings(&self) -> Vec<Standing> {
+        self.age();
+        self.roster.borrow().iter().cloned().collect()
+    }
+
     /// Addresses of the listed entry instances of `domain`, without this one.
     pub fn entries(&self, domain: Domain) -> Vec<SocketAddr> {
         let listed = self.listed.borrow();
@@ -129,55 +187,214 @@
         &self.changed
     }
 
+    /// Counts since the start.
+    pub fn tally(&self) -> Tally {
+        self.tally.borrow().clone()
+    }
+
     /// Sends heartbeats and takes in those of peers, for ever.
     pub async fn run(self: Rc<Self>, source: Rc<dyn Source>) {
-        drop(spawn(self.clone().listen()));
+        drop(spawn(self.clone().listen(source.clone())));
         loop {
             self.beat(source.as_ref());
             clock::sleep(self.config.interval).await;
         }
     }
 
+    /// Tells all peers that this instance stops now.
+    pub fn leave(&self, source: &dyn Source) {
+        let mut gossip = self.compose(source, 1, false);
+        gossip.heartbeat.phase = Phase::Left;
+        self.send(&gossip, &self.addresses());
+    }
+
+    fn age(&self) -> bool {
+        let mut roster = self.roster.borrow_mut();
+        let spread = self.spread_time(roster.addresses().count());
+        let limits = Limits {
+            suspect: self.config.suspect + spread,
+            timeout: self.config.timeout + spread * 3 / 2,
+        };
+        roster.age(clock::now(), limits)
+    }
+
+    /// Time that a sign of life of one of `peers` may be under way in relays.
+    fn spread_time(&self, peers: usize) -> Duration {
+        let turns = peers.div_ceil(self.config.fanout.max(1));
+        self.config.interval * (turns / RELAY_GAIN) as u32
+    }
+
     fn beat(&self, source: &dyn Source) {
+        if self.age() {
+            self.changed.notify();
+        }
+        let addresses = self.addresses();
+        let turn = {
+            let mut rng = self.rng.borrow_mut();
+            let mut herald = self.herald.borrow_mut();
+            herald.turn(&addresses, self.config.fanout, &mut *rng)
+        };
+        let gossip = self.compose(source, self.config.fanout.min(turn.len()), false);
+        self.send(&gossip, &turn);
+        let silent = self.silent();
+        if !silent.is_empty() {
+            let probe = self.compose(source, self.config.fanout, true);
+            self.send(&probe, &silent);
+        }
+    }
+
+    /// Addresses of the domain's instances, listed or heard of.
+    fn addresses(&self) -> BTreeSet<SocketAddr> {
+        let listed = self.entries(self.identity.domain);
+        let roster = self.roster.borrow();
+        let heard = roster.addresses();
+        let all = listed.into_iter().chain(heard);
+        all.filter(|it| *it != self.identity.address).collect()
+    }
+
+    /// Some of the silent peers, others each time.
+    fn silent(&self) -> Vec<SocketAddr> {
+        let roster = self.roster.borrow();
+        let silent = roster.iter().filter_map(|it| match it {
+            Standing::Silent(it) => Some(it.identity.address),
+            Standing::Live(_) | Standing::Gone(_) => None,
+        });
+        let mut silent: Vec<SocketAddr> = silent.collect();
+        silent.shuffle(&mut *self.rng.borrow_mut());
+        silent.truncate(PROBES);
+        silent
+    }
+
+    /// Gossip that fits the budget when it is sent to `receivers` an interval.
+    fn compose(&self, source: &dyn Source, receivers: usize, probe: bool) -> Gossip {
         self.sequence.set(self.sequence.get() + 1);
         let mut heartbeat = Heartbeat::new(self.identity.clone(), self.sequence.get());
         source.fill(&mut heartbeat);
-        if let Ok(bytes) = postcard::to_stdvec(&heartbeat) {
-            for address in self.entries(self.identity.domain) {
-                self.link.send(address, &bytes);
+        let mut gossip = Gossip {
+            heartbeat,
+            probe,
+            news: Vec::new(),
+            relays: Vec::new(),
+        };
+        let limit = self.frame_bytes(receivers);
+        while self.size(&gossip) > limit && gossip.heartbeat.suspects.pop().is_some() {}
+        let news = self.herald.borrow_mut().news();
+        for news in news {
+            gossip.news.push(news);
+            if self.size(&gossip) > limit.max(frame::MAX_BYTES / 2) {
+                gossip.news.pop();
+                break;
             }
         }
+        let room = limit.saturating_sub(self.size(&gossip));
+        gossip.relays = self.relays(room / Relay::BYTES);
+        gossip
+    }
+
+    fn frame_bytes(&self, receivers: usize) -> usize {
+        let interval_ms = self.config.interval.as_millis() as usize;
+        let bytes = self.config.bytes_per_s * interval_ms / 1_000 / receivers.max(1);
+        let bytes = bytes.saturating_sub(HEADER_BYTES);
+        bytes.min(frame::MAX_BYTES)
     }
 
-    async fn listen(self: Rc<Self>) {
+    fn size(&self, gossip: &Gossip) -> usize {
+        let sealed = frame::seal(&self.config.key, 0, gossip);
+        sealed.map_or(usize::MAX, |it| it.len())
+    }
+
+    /// Up to `count` peers that were heard of lately.
+    fn relays(&self, count: usize) -> Vec<Relay> {
+        let now = clock::now();
+        let roster = self.roster.borrow();
+        let relay = |it: &Standing| match it {
+            Standing::Live(it) => {
+                let age_ms = now.saturating_since(it.heard).as_millis() as u64;
+                let age = u8::try_from(age_ms.div_ceil(Relay::UNIT_MS)).ok()?;
+                Some(Relay { tag: it.tag, age })
+            }
+            Standing::Silent(_) | Standing::Gone(_) => None,
+        };
+        let mut relays: Vec<Relay> = roster.iter().filter_map(relay).collect();
+        relays.shuffle(&mut *self.rng.borrow_mut());
+        // The fresher half of a sample: stale ages are news to nobody.
+        relays.truncate(count * 2);
+        relays.sort_by_key(|it| it.age);
+        relays.truncate(count);
+        relays
+    }
+
+    fn send<'a>(&self, gossip: &Gossip, to: impl IntoIterator<Item = &'a SocketAddr>) {
+        let Ok(bytes) = frame::seal(&self.config.key, clock::wall(), gossip) else {
+            return;
+        };
+        let mut tally = self.tally.borrow_mut();
+        for address in to {
+            tally.sent += 1;
+            tally.sent_bytes += bytes.len() as u64;
+            self.link.send(*address, &bytes);
+        }
+    }
+
+    async fn listen(self: Rc<Self>, source: Rc<dyn Source>) {
         loop {
             let datagram = self.link.receive().await;
-            self.take(&datagram);
+            self.take(&datagram, source.as_ref());
         }
     }
 
-    fn take(&self, datagram: &Datagram) {
-        let Ok(heartbeat) = postcard::from_bytes::<Heartbeat>(&datagram.bytes) else {
-            return;
+    fn take(&self, datagram: &Datagram, source: &dyn Source) {
+        let opened = frame::open::<Gossip>(&self.config.key, clock::wall(), &datagram.bytes);
+        let gossip = match opened {
+            Ok(gossip) => gossip,
+            Err(fault) => {
+                *self.tally.borrow_mut().dropped.entry(fault).or_default() += 1;
+                return;
+            }
         };
-        let mut peers = self.peers.borrow_mut();
-        let known = peers.get(&heartbeat.from.name);
-        let newer = known.is_none_or(|it| {
-            let known = (it.identity.incarnation, it.heartbeat.sequence);
-            (heartbeat.from.incarnation, heartbeat.sequence) > known
-        });
-        if !newer || heartbeat.from.name == self.identity.name {
-            return;
-        }
-        let identity = heartbeat.from.clone();
-        let name = identity.name.clone();
-        let peer = Peer {
-            identity,
-            heartbeat: Rc::new(heartbeat),
-            heard: clock::now(),
+        let from = gossip.heartbeat.from.address;
+        let news = News {
+            identity: gossip.heartbeat.from.clone(),
+            phase: gossip.heartbeat.phase,
+            sequence: gossip.heartbeat.sequence,
+        };
+        let change = match self.note(gossip.heartbeat) {
+            Ok(change) => change,
+            Err(refusal) => {
+                *self.tally.borrow_mut().refused.entry(refusal).or_default() += 1;
+                return;
+            }
         };
-        peers.insert(name, Rc::new(peer));
-        drop(peers);
+        self.tally.borrow_mut().taken += 1;
+        self.spread(change, news);
+        self.learn(&gossip.news);
+        let now = clock::now();
+        self.roster.borrow_mut().relay(&gossip.relays, now);
+        if gossip.probe || change == Change::Joined {
+            let reply = self.compose(source, self.config.fanout, false);
+            self.send(&reply, [&from]);
+        }
         self.changed.notify();
     }
+
+    fn note(&self, heartbeat: Heartbeat) -> Result<Change, Refusal> {
+        self.roster.borrow_mut().take(heartbeat, clock::now())
+    }
+
+    fn learn(&self, news: &[News]) {
+        for news in news {
+            let learned = self.roster.borrow_mut().learn(news, clock::now());
+            if let Ok(change) = learned {
+                self.spread(change, news.clone());
+            }
+        }
+    }
+
+    /// Passes on that a peer came or changed its phase.
+    fn spread(&self, change: Change, news: News) {
+        if change != Change::Heard {
+            let peers = self.roster.borrow().iter().count();
+            self.herald.borrow_mut().spread(news, peers);
+        }
+    }
 }
--- /dev/null
+++ b/crates/bluebellpath/src/peer/net/config.rs
@@ -0,0 +1,40 @@
+//! Limits and timeouts of calls between instances.
+
+use std::time::Duration;
+
+/// Limits and timeouts of a [`Net`](super::Net).
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// Longest time for a connection and its handshake.
+    pub connect: Duration,
+    /// Longest time for writing or reading one message.
+    pub message: Duration,
+    /// Longest wait for a reply.
+    pub call: Duration,
+    /// Time without calls after which the calling side closes a connection; the
+    /// other side waits three times as long, so that it never closes one that
+    /// is about to be used.
+    pub idle: Duration,
+    /// Largest message in bytes.
+    pub message_bytes: usize,
+    /// Calls that wait for replies on one connection.
+    pub calls: usize,
+    /// Connections that are accepted at once.
+    pub connections: usize,
+}
+
+impl Default for Config {
+    /// 1 s to connect, 5 s a message, 60 s a call, 30 s idle, 8 MiB a message,
+    /// 4,096 calls on a connection, 512 connections.
+    fn default() -> Config {
+        Config {
+            connect: Duration::from_secs(1),
+            message: Duration::from_secs(5),
+            call: Duration::from_secs(60),
+            idle: Duration::from_secs(30),
+            message_bytes: 8 << 20,
+            calls: 4_096,
+            connections: 512,
+        }
+    }
+}
--- /dev/null
+++ b/crates/bluebellpath/src/peer/net/incoming.rs
@@ -0,0 +1,107 @@
+//! Accepting side of connections.
+
+use std::{cell::Cell, rc::Rc};
+
+use bluebellpath_runtime::spawn;
+use futures_channel::mpsc;
+use futures_util::{StreamExt, future::select};
+use monoio::{
+    io::Splitable,
+    net::{TcpListener, TcpStream},
+};
+
+use super::{
+    Config,
+    wire::{self, Reader, Side, Writer},
+};
+use crate::peer::{Handler, Key, Reply, Request};
+
+/// Accepts connections for ever and hands their requests to `handler`.
+pub(super) async fn accept(
+    listener: Rc<TcpListener>,
+    key: Key,
+    config: Config,
+    handler: Rc<dyn Handler>,
+) {
+    let open: Rc<Cell<usize>> = Rc::default();
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // Out of descriptors, mostly: some come free as connections end.
+            bluebellpath_runtime::clock::sleep(config.connect).await;
+            continue;
+        };
+        if open.get() >= config.connections {
+            continue;
+        }
+        let slot = Slot::new(open.clone());
+        let handler = handler.clone();
+        drop(spawn(async move {
+            let _slot = slot;
+            // Whoever called sees the connection end and knows as much.
+            let _ = serve(stream, key, config, handler).await;
+        }));
+    }
+}
+
+async fn serve(
+    mut stream: TcpStream,
+    key: Key,
+    config: Config,
+    handler: Rc<dyn Handler>,
+) -> Result<(), wire::Fault> {
+    let _ = stream.set_nodelay(true);
+    let session = wire::shake(&mut stream, Side::Server, &key, config.connect).await?;
+    let (read, write) = stream.into_split();
+    let limits = (config.message, config.message_bytes);
+    let mut reader = Reader::new(read, session, Side::Server, limits.0, limits.1);
+    let mut writer = Writer::new(write, session, Side::Server, config.message);
+    let (replies, mut replied) = mpsc::unbounded::<(u64, Reply)>();
+    let running: Rc<Cell<usize>> = Rc::default();
+    let reading = async {
+        loop {
+            let (number, request) = match reader.read::<(u64, Request)>(config.idle * 3).await {
+                Ok(message) => message,
+                // Replies are still to come: the caller is not idle.
+                Err(wire::Fault::TimedOut) if running.get() > 0 => continue,
+                Err(fault) => return Err(fault),
+            };
+            if running.get() >= config.calls {
+                return Err(wire::Fault::TooLarge);
+            }
+            let slot = Slot::new(running.clone());
+            let (handler, replies) = (handler.clone(), replies.clone());
+            drop(spawn(async move {
+                let reply = handler.handle(request).await;
+                drop(slot);
+                // The connection may have ended meanwhile.
+                let _ = replies.unbounded_send((number, reply));
+            }));
+        }
+    };
+    let writing = async {
+        while let Some(reply) = replied.next().await {
+            let payload = wire::encode(&reply, config.message_bytes)?;
+            writer.write(payload).await?;
+        }
+        Ok(())
+    };
+    let (reading, writing) = (std::pin::pin!(reading), std::pin::pin!(writing));
+    let ended = select(reading, writing).await;
+    ended.factor_first().0
+}
+
+/// Counts something while it lives.
+struct Slot(Rc<Cell<usize>>);
+
+impl Slot {
+    fn new(count: Rc<Cell<usize>>) -> Slot {
+        count.set(count.get() + 1);
+        Slot(count)
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
--- a/crates/bluebellpath/src/settings/mod.rs
+++ b/crates/bluebellpath/src/settings/mod.rs
@@ -7,8 +7,10 @@
 
 mod domain;
 mod error;
+mod peers;
 mod process;
 
 pub use domain::Domain;
 pub use error::Error;
+pub use peers::Peers;
 pub use process::Settings;
--- a/crates/bluebellpath/src/settings/process.rs
+++ b/crates/bluebellpath/src/settings/process.rs
@@ -4,7 +4,7 @@
 
 use serde::Deserialize;
 
-use super::{Domain, Error};
+use super::{Domain, Error, Peers};
 
 /// Settings of an entry daemon.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -20,6 +20,8 @@
     pub listen: SocketAddr,
     /// Address of the platform.
     pub platform: SocketAddr,
+    /// Way to other entry instances; without it this one has no peers.
+    pub peers: Option<Peers>,
 }
 
 impl Settings {
--- /dev/null
+++ b/crates/bluebellpath/tests/peer_net.rs
@@ -0,0 +1,255 @@
+//! Calls and datagrams between instances over loopback sockets.
+
+use std::{
+    cell::{Cell, RefCell},
+    io::{Read, Write},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use bluebellpath::{
+    job::{Id, Ticket},
+    peer::{Fault, Handler, Key, Link, Net, Reply, Request, Step, net},
+};
+use bluebellpath_runtime::{LocalFuture, Scope, clock, runtime, spawn};
+use futures_util::future::join_all;
+
+fn bind(secret: &str) -> Rc<Net> {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let config = net::Config {
+        call: Duration::from_millis(500),
+        idle: Duration::from_millis(200),
+        ..net::Config::default()
+    };
+    Rc::new(Net::bind(address, Key::new(secret), config).expect("loopback"))
+}
+
+fn fetch(text: &str) -> Request {
+    let id: Id = text.parse().expect("valid");
+    Request::Fetch { id }
+}
+
+/// Answers after the milliseconds in the id's text.
+#[derive(Default)]
+struct Delays {
+    handled: Rc<RefCell<Vec<String>>>,
+}
+
+impl Handler for Delays {
+    fn handle(&self, request: Request) -> LocalFuture<'static, Reply> {
+        let Request::Fetch { id } = request else {
+            return Box::pin(async { Reply::NotOwner });
+        };
+        let text = id.to_string();
+        self.handled.borrow_mut().push(text.clone());
+        Box::pin(async move {
+            let delay_ms = text.parse().unwrap_or(0);
+            clock::sleep(Duration::from_millis(delay_ms)).await;
+            match delay_ms % 2 {
+                0 => Reply::Missing,
+                _ => Reply::NotOwner,
+            }
+        })
+    }
+}
+
+#[test]
+fn calls_share_a_connection_and_replies_find_their_calls() {
+    runtime::block_on(async {
+        let (client, server) = (bind("key"), bind("key"));
+        server.serve(Rc::new(Delays::default()));
+        let calls = (0..50).rev().map(|it| {
+            let client = client.clone();
+            let to = server.address();
+            async move { client.call(to, fetch(&it.to_string())).await }
+        });
+        let replies = join_all(calls).await;
+        for (index, reply) in replies.into_iter().enumerate() {
+            let wanted = match (49 - index) % 2 {
+                0 => Reply::Missing,
+                _ => Reply::NotOwner,
+            };
+            assert_eq!(reply.expect("served"), wanted);
+        }
+        // Past the idle limit a fresh connection is made.
+        clock::sleep(Duration::from_millis(500)).await;
+        let again = client.call(server.address(), fetch("0")).await;
+        assert_eq!(again.expect("served"), Reply::Missing);
+    });
+}
+
+#[test]
+fn nobody_listens_is_not_sent() {
+    runtime::block_on(async {
+        let client = bind("key");
+        let gone = {
+            let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("loopback");
+            listener.local_addr().expect("bound")
+        };
+        let error = client.call(gone, fetch("0")).await.expect_err("closed");
+        assert_eq!((error.step, error.fault), (Step::Connect, Fault::NotSent));
+    });
+}
+
+#[test]
+fn another_key_is_not_sent_and_not_served() {
+    runtime::block_on(async {
+        let (client, server) = (bind("key"), bind("other key"));
+        let delays = Delays::default();
+        let handled = delays.handled.clone();
+        server.serve(Rc::new(delays));
+        let error = client.call(server.address(), fetch("0")).await;
+        assert_eq!(error.expect_err("refused").fault, Fault::NotSent);
+        assert!(handled.borrow().is_empty());
+    });
+}
+
+#[test]
+fn no_reply_in_time_is_unknown() {
+    runtime::block_on(async {
+        let (client, server) = (bind("key"), bind("key"));
+        server.serve(Rc::new(Delays::default()));
+        let error = client.call(server.address(), fetch("5000")).await;
+        let error = error.expect_err("too slow");
+        assert_eq!((error.step, error.fault), (Step::Receive, Fault::Unknown));
+    });
+}
+
+#[test]
+fn a_peer_that_dies_leaves_its_calls_unknown_at_once() {
+    runtime::block_on(async {
+        let (client, server) = (bind("key"), bind("key"));
+        let (scope, to) = (Scope::new(), server.address());
+        drop(scope.spawn(async move { server.serve(Rc::new(Delays::default())) }));
+        let calling = spawn(async move { client.call(to, fetch("5000")).await });
+        clock::sleep(Duration::from_millis(100)).await;
+        let killed = clock::now();
+        scope.kill();
+        let error = calling.await.expect("not killed").expect_err("gone");
+        assert_eq!(error.fault, Fault::Unknown);
+        assert!(clock::now() - killed < Duration::from_millis(300));
+    });
+}
+
+/// Passes bytes between a caller and a server, and keeps what the caller sent.
+fn proxy(server: SocketAddr) -> (SocketAddr, std::thread::JoinHandle<Vec<u8>>) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("loopback");
+    let address = listener.local_addr().expect("bound");
+    let thread = std::thread::spawn(move || {
+        let (mut near, _) = listener.accept().expect("caller");
+        let mut far = std::net::TcpStream::connect(server).expect("server");
+        let mut back = far.try_clone().expect("clone");
+        let mut reply = near.try_clone().expect("clone");
+        let answers = std::thread::spawn(move || std::io::copy(&mut back, &mut reply));
+        let mut captured = Vec::new();
+        let mut buffer = [0; 4_096];
+        while let Ok(length @ 1..) = near.read(&mut buffer) {
+            captured.extend_from_slice(&buffer[..length]);
+            far.write_all(&buffer[..length]).expect("server");
+        }
+        drop(far.shutdown(std::net::Shutdown::Both));
+        drop(answers.join());
+        captured
+    });
+    (address, thread)
+}
+
+#[test]
+fn a_captured_stream_can_not_be_replayed() {
+    runtime::block_on(async {
+        let (client, server) = (bind("key"), bind("key"));
+        let delays = Delays::default();
+        let handled = delays.handled.clone();
+        server.serve(Rc::new(delays));
+        let (address, captured) = proxy(server.address());
+        let reply = client.call(address, fetch("0")).await;
+        assert_eq!(reply.expect("served"), Reply::Missing);
+        clock::sleep(Duration::from_millis(500)).await;
+        let captured = captured.join().expect("proxy");
+        assert!(captured.len() > 49, "a hello, a proof and a request");
+        assert_eq!(handled.borrow().len(), 1);
+
+        let mut replay = std::net::TcpStream::connect(server.address()).expect("server");
+        replay.write_all(&captured).expect("server");
+        clock::sleep(Duration::from_millis(200)).await;
+        assert_eq!(handled.borrow().len(), 1);
+    });
+}
+
+#[test]
+fn noise_closes_the_connection_and_nothing_else() {
+    runtime::block_on(async {
+        let (client, server) = (bind("key"), bind("key"));
+        server.serve(Rc::new(Delays::default()));
+        for noise in [&b""[..], &[0; 17], &[1; 17], &[1; 33], &[255; 4_096]] {
+            let mut stream = std::net::TcpStream::connect(server.address()).expect("server");
+            stream.write_all(noise).expect("server");
+        }
+        clock::sleep(Duration::from_millis(50)).await;
+        let reply = client.call(server.address(), fetch("0")).await;
+        assert_eq!(reply.expect("served"), Reply::Missing);
+    });
+}
+
+#[test]
+fn datagrams_arrive_and_large_ones_show_as_large() {
+    runtime::block_on(async {
+        let (a, b) = (bind("key"), bind("key"));
+        a.send(b.address(), b"hello");
+        let datagram = b.receive().await;
+        assert_eq!(
+            (datagram.from, datagram.bytes),
+            (a.address(), b"hello".to_vec())
+        );
+        a.send(b.address(), &[0; 4_000]);
+        let datagram = b.receive().await;
+        assert!(datagram.bytes.len() > bluebellpath::peer::frame::MAX_BYTES);
+    });
+}
+
+#[test]
+fn tickets_travel_whole() {
+    runtime::block_on(async {
+        let (client, server) = (bind("key"), bind("key"));
+        let delays = Delays::default();
+        let handled = delays.handled.clone();
+        server.serve(Rc::new(delays));
+        let ticket = Ticket {
+            domain: bluebellpath::settings::Domain::new(3),
+            incarnation: bluebellpath::job::Incarnation::from_u64(u64::MAX),
+            counter: 1 << 60,
+        };
+        let id = Id::Ticket(ticket);
+        let reply = client.call(server.address(), Request::Fetch { id: id.clone() });
+        assert_eq!(reply.await.expect("served"), Reply::Missing);
+        assert_eq!(*handled.borrow(), [id.to_string()]);
+    });
+}
+
+#[test]
+fn calls_beyond_the_limit_are_not_sent() {
+    runtime::block_on(async {
+        let config = net::Config {
+            calls: 2,
+            call: Duration::from_millis(300),
+            ..net::Config::default()
+        };
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let client = Rc::new(Net::bind(address, Key::new("key"), config).expect("loopback"));
+        let server = bind("key");
+        server.serve(Rc::new(Delays::default()));
+        let refused = Rc::new(Cell::new(0));
+        let calls = (0..5).map(|_| {
+            let (client, to, refused) = (client.clone(), server.address(), refused.clone());
+            async move {
+                let called = client.call(to, fetch("100")).await;
+                if called.is_err_and(|it| it.fault == Fault::NotSent) {
+                    refused.set(refused.get() + 1);
+                }
+            }
+        });
+        join_all(calls).await;
+        assert_eq!(refused.get(), 3);
+    });
+}
--- a/crates/cli/src/demo/system.rs
+++ b/crates/cli/src/demo/system.rs
@@ -56,6 +56,7 @@
             domain: "demo".to_owned(),
             listen: entry.local_addr()?,
             platform: platform.local_addr()?,
+            peers: None,
         };
         let messages = Arc::new(AtomicU64::new(0));
         let system = System {
@@ -69,8 +70,8 @@
         thread::spawn(move || {
             runtime::block_on(async {
                 let listener = monoio::net::TcpListener::from_std(entry)?;
-                daemon::serve(listener, &settings).await;
-                io::Result::Ok(())
+                let served = daemon::serve(listener, &settings).await;
+                served.map_err(io::Error::other)
             })
         });
         Ok(system)
--- a/crates/standin/src/network.rs
+++ b/crates/standin/src/network.rs
@@ -29,6 +29,7 @@
     datagrams: Cell<u64>,
     bytes: Cell<u64>,
     calls: Cell<u64>,
+    loss_permille: Cell<u32>,
 }
 
 /// Network between entry instances; clones share it.
@@ -73,6 +74,28 @@
         cuts.remove(&(b, a));
     }
 
+    /// Loses this share of the datagrams, in thousandths.
+    pub fn set_loss_permille(&self, loss_permille: u32) {
+        self.0.loss_permille.set(loss_permille);
+    }
+
+    /// Hands `bytes` to the instance at `to` as if `from` had sent them.
+    pub fn inject(&self, from: SocketAddr, to: SocketAddr, bytes: &[u8]) {
+        if let Some(port) = self.port(to) {
+            let bytes = bytes.to_vec();
+            port.inbox.borrow_mut().push_back(Datagram { from, bytes });
+            port.arrived.notify();
+        }
+    }
+
+    /// True for the datagrams that get lost; the same ones in every run.
+    fn loses(&self) -> bool {
+        let number = self.0.datagrams.get();
+        // Spreads consecutive numbers over all values (Fibonacci hashing).
+        let spread = number.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
+        spread % 1_000 < u64::from(self.0.loss_permille.get())
+    }
+
     /// Datagrams sent so far.
     pub fn datagrams(&self) -> u64 {
         self.0.datagrams.get()
@@ -124,6 +147,9 @@
             .0
             .bytes
             .set(network.0.bytes.get() + bytes.len() as u64);
+        if network.loses() {
+            return;
+        }
         let datagram = Datagram {
             from,
             bytes: bytes.to_vec(),
