--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -73,6 +73,7 @@
 struct Running {
     entry: Entry,
     scope: Scope,
+    number: u64,
 }
 
 impl Member {
@@ -138,6 +139,17 @@
         fleet
     }
 
+    /// Sizes of this fleet.
+    pub fn layout(&self) -> &Layout {
+        &self.layout
+    }
+
+    /// Number of the run that the member at `index` is in, which no other run
+    /// has.
+    pub fn started(&self, index: usize) -> u64 {
+        self.members[index].running.borrow().number
+    }
+
     /// Crashes the member at `index`.
     pub fn kill(&self, index: usize) {
         let member = &self.members[index];
@@ -192,7 +204,12 @@
         let entry = Entry::new(config, env);
         let started = entry.clone();
         drop(scope.spawn(async move { started.start() }));
-        Running { entry, scope }
+        let number = u64::from(self.starts.get());
+        Running {
+            entry,
+            scope,
+            number,
+        }
     }
 }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,6 +8,7 @@
 one but for the demonstration and for tests.
 */
 
+mod dice;
 mod fault;
 mod fleet;
 mod gate;
--- a/crates/standin/src/network.rs
+++ b/crates/standin/src/network.rs
@@ -11,6 +11,8 @@
 use bluebellpath::peer::{Datagram, Error, Fault, Handler, Link, Reply, Request, Step};
 use bluebellpath_runtime::{LocalFuture, Notify, Scope, clock};
 
+use crate::dice;
+
 /// Time after which a call over a cut connection is given up.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -26,6 +28,8 @@
     ports: RefCell<HashMap<SocketAddr, Rc<Port>>>,
     cuts: RefCell<HashSet<(SocketAddr, SocketAddr)>>,
     one_way: Cell<Duration>,
+    jitter: Cell<Duration>,
+    seed: Cell<u64>,
     datagrams: Cell<u64>,
     bytes: Cell<u64>,
     calls: Cell<u64>,
@@ -43,6 +47,12 @@
         network
     }
 
+    /// Delays each message by up to `jitter` more, picked by `seed`.
+    pub fn set_jitter(&self, jitter: Duration, seed: u64) {
+        self.0.jitter.set(jitter);
+        self.0.seed.set(seed);
+    }
+
     /// Link of the instance at `address`, whose handler runs in `scope`.
     pub fn node(&self, address: SocketAddr, scope: Scope) -> Node {
         // A fresh port: a replaced instance does not get its predecessor's mail.
@@ -88,6 +98,12 @@
         self.0.calls.get()
     }
 
+    fn delay(&self) -> Duration {
+        let jitter = self.0.jitter.get().as_micros() as u64;
+        let more = dice::roll(&self.0.seed, jitter + 1);
+        self.0.one_way.get() + Duration::from_micros(more)
+    }
+
     fn is_cut(&self, a: SocketAddr, b: SocketAddr) -> bool {
         self.0.cuts.borrow().contains(&(a, b))
     }
@@ -129,7 +145,7 @@
             bytes: bytes.to_vec(),
         };
         drop(Scope::new().spawn(async move {
-            clock::sleep(network.0.one_way.get()).await;
+            clock::sleep(network.delay()).await;
             if network.is_cut(from, to) {
                 return;
             }
@@ -156,7 +172,7 @@
         Box::pin(async move {
             let network = &self.network;
             network.0.calls.set(network.0.calls.get() + 1);
-            clock::sleep(network.0.one_way.get()).await;
+            clock::sleep(network.delay()).await;
             let port = network
                 .port(to)
                 .filter(|_| !network.is_cut(self.address, to));
@@ -176,7 +192,7 @@
             let Some(reply) = reply.await else {
                 return Err(self.error(Step::Receive, to, Fault::Unknown, "peer is gone"));
             };
-            clock::sleep(network.0.one_way.get()).await;
+            clock::sleep(network.delay()).await;
             if network.is_cut(to, self.address) {
                 clock::sleep(CALL_TIMEOUT).await;
                 return Err(self.error(Step::Receive, to, Fault::Unknown, "no reply"));
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, collections::BTreeMap, rc::Rc};
 
 use bluebellpath::platform::{self, Commit, Conflict, Error, Expect, Item, Row, Step, Write};
-use bluebellpath_runtime::LocalFuture;
+use bluebellpath_runtime::{LocalFuture, Scope};
 
 use crate::Faults;
 
@@ -123,10 +123,19 @@
     }
 
     fn commit<'a>(&'a self, writes: &'a [Write]) -> LocalFuture<'a, Result<Commit, Error>> {
+        let (table, writes) = (self.clone(), writes.to_vec());
         Box::pin(async move {
-            self.0.faults.enter(Step::Commit).await?;
-            let commit = self.apply(writes);
-            self.0.faults.leave(Step::Commit, commit).await
+            // A request on its way takes effect whether or not its client still
+            // waits for the answer.
+            let request = Scope::new().spawn(async move {
+                table.0.faults.enter(Step::Commit).await?;
+                let commit = table.apply(&writes);
+                table.0.faults.leave(Step::Commit, commit).await
+            });
+            match request.await {
+                Some(result) => result,
+                None => std::future::pending().await,
+            }
         })
     }
 }
