--- a/crates/bluebellpath/src/daemon/mod.rs
+++ b/crates/bluebellpath/src/daemon/mod.rs
@@ -7,7 +7,7 @@
 
 pub use error::{Error, Step};
 
-use std::rc::Rc;
+use std::{net::SocketAddr, rc::Rc};
 
 use bluebellpath_runtime::{Scope, clock};
 use monoio::net::TcpListener;
@@ -21,7 +21,7 @@
     http::{Client, ClientConfig, Server},
     job::Incarnation,
     log,
-    peer::Offline,
+    peer::{self, Key, Link, Net, Offline},
     platform,
     settings::Settings,
     target,
@@ -34,12 +34,11 @@
         peer: settings.listen,
         detail: error.to_string(),
     })?;
-    serve(listener, &settings).await;
-    Ok(())
+    serve(listener, &settings).await
 }
 
 /// Runs an entry instance on a listener that is already bound.
-pub async fn serve(listener: TcpListener, settings: &Settings) {
+pub async fn serve(listener: TcpListener, settings: &Settings) -> Result<(), Error> {
     let incarnation = Incarnation::new(clock::wall(), rand::rng().random());
     let log = log::json(std::io::stderr(), &settings.name, incarnation);
     let client = Client::new(ClientConfig::default());
@@ -48,12 +47,13 @@
         settings.platform,
         settings.platform_timeout,
     ));
+    let (link, membership, address) = peers(settings)?;
     let env = Env {
         table: platform.clone(),
         objects: platform.clone(),
         instances: platform,
         targets: Rc::new(target::Http::new(client)),
-        link: Rc::new(Offline),
+        link,
         config: Rc::new(Current::new(1, Document::default())),
         log: log.clone(),
     };
@@ -61,7 +61,8 @@
         domain: settings.home().unwrap_or(crate::settings::Domain::new(0)),
         domains: settings.domains.len() as u16,
         max_jobs: settings.max_jobs,
-        ..Config::new(&settings.name, incarnation, settings.listen)
+        membership,
+        ..Config::new(&settings.name, incarnation, address)
     };
     let entry = Entry::new(config, env);
     let scope = Scope::new();
@@ -75,4 +76,29 @@
     };
     info!(log, "serving"; "address" => %settings.listen, "domain" => &settings.domain);
     serving.await;
+    Ok(())
+}
+
+/// Way to other instances, timing of heartbeats and address for peers.
+fn peers(settings: &Settings) -> Result<(Rc<dyn Link>, peer::Config, SocketAddr), Error> {
+    let Some(peers) = &settings.peers else {
+        return Ok((Rc::new(Offline), peer::Config::default(), settings.listen));
+    };
+    let secret = peers.key.read().map_err(|error| Error {
+        step: Step::Key,
+        peer: peers.listen,
+        detail: error.to_string(),
+    })?;
+    let key = Key::new(&secret);
+    let net = Net::bind(peers.listen, key, peer::net::Config::default());
+    let net = net.map_err(|error| Error {
+        step: Step::Listen,
+        peer: peers.listen,
+        detail: error.to_string(),
+    })?;
+    let membership = peer::Config {
+        key,
+        ..peer::Config::default()
+    };
+    Ok((Rc::new(net), membership, peers.listen))
 }
--- a/crates/bluebellpath/src/settings/peers.rs
+++ b/crates/bluebellpath/src/settings/peers.rs
@@ -4,7 +4,7 @@
 
 use super::{
     KeySource,
-    rule::{ADDRESS, PATH, VARIABLE},
+    rule::{ADDRESS, KEY, PATH, VARIABLE},
     section::{Section, Source},
 };
 
@@ -20,18 +20,18 @@
 impl Peers {
     pub(super) fn read(source: &Source<'_>, section: &Section<'_>) -> Option<Peers> {
         let listen = section.required("listen", &ADDRESS);
-        let file = section.optional("key_file", &PATH);
-        let variable = section.optional("key_env", &VARIABLE);
-        let key = match (file, variable) {
-            (Some(file), None) => Some(KeySource::File(file)),
-            (None, Some(variable)) => Some(KeySource::Variable(variable)),
-            (file, _) => {
-                let found = file.map_or("neither", |_| "both").to_owned();
-                let allowed = "either `key_file` or `key_env`";
-                source.report(section.place(), "peers", found, allowed);
-                None
-            }
-        };
+        let inline = section.optional("key", &KEY).map(KeySource::Inline);
+        let file = section.optional("key_file", &PATH).map(KeySource::File);
+        let variable = section
+            .optional("key_env", &VARIABLE)
+            .map(KeySource::Variable);
+        let mut keys: Vec<KeySource> = [inline, file, variable].into_iter().flatten().collect();
+        let key = keys.pop();
+        if key.is_none() || !keys.is_empty() {
+            let found = format!("{} of them", keys.len() + usize::from(key.is_some()));
+            let allowed = "one of `key`, `key_file` and `key_env`";
+            source.report(section.place(), "peers", found, allowed);
+        }
         Some(Peers {
             listen: listen?,
             key: key?,
--- a/crates/bluebellpath/src/settings/rule.rs
+++ b/crates/bluebellpath/src/settings/rule.rs
@@ -5,6 +5,8 @@
 use jsonc_parser::ast::Value;
 use slog::Level;
 
+use super::KeySource;
+
 /// What a field may hold, in words and as a test.
 pub(super) struct Rule<T> {
     pub(super) allowed: &'static str,
@@ -83,6 +85,15 @@
     parse: |it| text(it).filter(|it| !it.is_empty()).map(PathBuf::from),
 };
 
+/// Shared key.
+pub(super) const KEY: Rule<String> = Rule {
+    allowed: "a secret text of 12 bytes or more",
+    parse: |it| {
+        let long = |it: &&str| it.len() >= KeySource::MIN_BYTES;
+        text(it).filter(long).map(str::to_owned)
+    },
+};
+
 /// Name of an environment variable.
 pub(super) const VARIABLE: Rule<String> = Rule {
     allowed: "the name of an environment variable",
--- a/crates/bluebellpath/src/settings/section.rs
+++ b/crates/bluebellpath/src/settings/section.rs
@@ -15,6 +15,9 @@
 /// Greatest edit distance at which a known name counts as near.
 const MAX_DISTANCE: usize = 3;
 
+/// Field whose value is never shown.
+const SECRET: &str = "key";
+
 /// Text of a settings file and the faults found in it so far.
 pub(super) struct Source<'a> {
     text: &'a str,
@@ -180,7 +183,10 @@
     fn parse<T>(&self, name: &str, value: &Value<'_>, rule: &Rule<T>) -> Option<T> {
         let parsed = (rule.parse)(value);
         if parsed.is_none() {
-            let found = self.source.quote(value);
+            let found = match name {
+                SECRET => "a hidden value".to_owned(),
+                _ => self.source.quote(value),
+            };
             let place = value.range().start;
             self.source
                 .report(place, &self.field(name), found, rule.allowed);
--- a/crates/cli/src/demo/system.rs
+++ b/crates/cli/src/demo/system.rs
@@ -63,8 +63,8 @@
         thread::spawn(move || {
             runtime::block_on(async {
                 let listener = monoio::net::TcpListener::from_std(entry)?;
-                daemon::serve(listener, &settings).await;
-                io::Result::Ok(())
+                let served = daemon::serve(listener, &settings).await;
+                served.map_err(io::Error::other)
             })
         });
         Ok(system)
--- a/crates/loadbench/src/system.rs
+++ b/crates/loadbench/src/system.rs
@@ -82,8 +82,8 @@
             let _ = sender.send(Cpu::current());
             runtime::block_on(async {
                 let listener = monoio::net::TcpListener::from_std(entry)?;
-                daemon::serve(listener, &settings).await;
-                io::Result::Ok(())
+                let served = daemon::serve(listener, &settings).await;
+                served.map_err(io::Error::other)
             })
         })?;
         let cpu = cpu.recv().map_err(io::Error::other)??;
