--- a/crates/bluebellpath/src/caller/service.rs
+++ b/crates/bluebellpath/src/caller/service.rs
@@ -9,6 +9,7 @@
     entry::{Entry, Refusal},
     http::{Fault, Request, Response, Service},
     job::{Answer, Id, Outcome, Submission, Ticket},
+    peer::Phase,
 };
 
 /// Header with the job id.
@@ -38,6 +39,8 @@
         let path = request.path.clone();
         let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
         let routed = match (&request.method, parts.as_slice()) {
+            (&Method::GET, ["health", "live"]) => Ok(Response::new(StatusCode::NO_CONTENT)),
+            (&Method::GET, ["health", "ready"]) => self.ready(),
             (&Method::POST, ["tickets"]) => self.tickets(&request),
             (&Method::POST, ["jobs"]) => self.submit(request).await,
             (&Method::GET, ["jobs", id]) => self.fetch(id).await,
@@ -58,6 +61,16 @@
         routed.unwrap_or_else(|problem| problem.response())
     }
 
+    fn ready(&self) -> Result<Response, Box<Problem>> {
+        let detail = match self.entry.phase() {
+            Phase::Serving => return Ok(Response::new(StatusCode::NO_CONTENT)),
+            Phase::Starting => "the instance is starting",
+            Phase::Draining | Phase::Left => "the instance is draining",
+        };
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        Err(Problem::not_run(status, "not-ready", detail))
+    }
+
     fn tickets(&self, request: &Request) -> Result<Response, Box<Problem>> {
         let count = match request.parameter("count").map(str::parse) {
             None => 1,
--- a/crates/bluebellpath/src/daemon/mod.rs
+++ b/crates/bluebellpath/src/daemon/mod.rs
@@ -4,15 +4,19 @@
 */
 
 mod error;
+mod life;
+mod stops;
 
 pub use error::{Error, Step};
+pub use life::{Draining, Life, Serving, Starting, Stopped};
+pub use stops::Stops;
 
 use std::{net::SocketAddr, rc::Rc};
 
-use bluebellpath_runtime::{Scope, clock};
+use bluebellpath_runtime::{Scope, clock, runtime};
 use monoio::net::TcpListener;
 use rand::RngExt;
-use slog::info;
+use slog::Logger;
 
 use crate::{
     caller::Api,
@@ -27,20 +31,79 @@
     target,
 };
 
-/// Runs an entry instance until its listener closes.
-pub async fn run(settings: Settings) -> Result<(), Error> {
+/// Runs an entry instance until it is told to stop by a signal.
+pub async fn run(settings: Settings) -> Result<Life<Stopped>, Error> {
     let listener = TcpListener::bind(settings.listen).map_err(|error| Error {
         step: Step::Listen,
         peer: settings.listen,
         detail: error.to_string(),
     })?;
-    serve(listener, &settings).await
+    let stops = Stops::signals().map_err(|error| Error {
+        step: Step::Signals,
+        peer: settings.listen,
+        detail: error.to_string(),
+    })?;
+    serve_until(listener, &settings, stops).await
 }
 
-/// Runs an entry instance on a listener that is already bound.
+/// Runs an entry instance on a listener that is already bound, for ever.
 pub async fn serve(listener: TcpListener, settings: &Settings) -> Result<(), Error> {
-    let incarnation = Incarnation::new(clock::wall(), rand::rng().random());
-    let log = log::json(std::io::stderr(), &settings.name, incarnation);
+    let instance = Instance::start(listener, settings)?;
+    let _life = instance.life.ready().await;
+    std::future::pending().await
+}
+
+/// Runs an entry instance on a listener that is already bound until `stops`
+/// asks for a stop.
+pub async fn serve_until(
+    listener: TcpListener,
+    settings: &Settings,
+    mut stops: Stops,
+) -> Result<Life<Stopped>, Error> {
+    let instance = Instance::start(listener, settings)?;
+    let serving = instance.life.ready().await;
+    let draining = serving.until(&mut stops).await;
+    let stopped = draining.finish(&mut stops).await;
+    instance.scope.kill();
+    // Killed tasks go at their next turn, and with them their descriptors.
+    runtime::yield_now().await;
+    Ok(stopped)
+}
+
+/// Entry instance with its tasks and its life.
+struct Instance {
+    scope: Scope,
+    life: Life<Starting>,
+}
+
+impl Instance {
+    fn start(listener: TcpListener, settings: &Settings) -> Result<Instance, Error> {
+        let incarnation = Incarnation::new(clock::wall(), rand::rng().random());
+        let log = log::json(
+            std::io::stderr(),
+            &settings.name,
+            incarnation,
+            settings.log_level,
+        );
+        let (env, config) = parts(settings, incarnation, &log)?;
+        let entry = Entry::new(config, env);
+        let api = Rc::new(Api::new(entry.clone()));
+        let server = Server::new(listener, api, settings.http);
+        let life = Life::new(entry.clone(), server.closer(), settings.drain, log);
+        let scope = Scope::new();
+        drop(scope.spawn(async move {
+            entry.start();
+            server.run().await;
+        }));
+        Ok(Instance { scope, life })
+    }
+}
+
+fn parts(
+    settings: &Settings,
+    incarnation: Incarnation,
+    log: &Logger,
+) -> Result<(Env, Config), Error> {
     let client = Client::new(ClientConfig::default());
     let platform = Rc::new(platform::http::Http::new(
         client.clone(),
@@ -64,19 +127,7 @@
         membership,
         ..Config::new(&settings.name, incarnation, address)
     };
-    let entry = Entry::new(config, env);
-    let scope = Scope::new();
-    let serving = {
-        let (entry, limits) = (entry.clone(), settings.http);
-        scope.spawn(async move {
-            entry.start();
-            let api = Rc::new(Api::new(entry));
-            Server::new(listener, api, limits).run().await;
-        })
-    };
-    info!(log, "serving"; "address" => %settings.listen, "domain" => &settings.domain);
-    serving.await;
-    Ok(())
+    Ok((env, config))
 }
 
 /// Way to other instances, timing of heartbeats and address for peers.
--- a/crates/bluebellpath/src/entry/jobs.rs
+++ b/crates/bluebellpath/src/entry/jobs.rs
@@ -48,6 +48,12 @@
         self.by_id.borrow_mut().remove(&job.id);
     }
 
+    /// Jobs without an answer.
+    pub(super) fn unanswered(&self) -> usize {
+        let jobs = self.by_number.borrow();
+        jobs.values().filter(|it| !it.is_answered()).count()
+    }
+
     /// Jobs that are kept.
     pub(super) fn len(&self) -> usize {
         self.by_id.borrow().len()
--- a/crates/bluebellpath/src/entry/mod.rs
+++ b/crates/bluebellpath/src/entry/mod.rs
@@ -14,6 +14,7 @@
 mod env;
 mod job;
 mod jobs;
+mod lifecycle;
 mod names;
 mod pump;
 mod refusal;
@@ -23,6 +24,7 @@
 
 pub use config::Config;
 pub use env::Env;
+pub use lifecycle::Work;
 pub use refusal::Refusal;
 
 use std::rc::Rc;
--- a/crates/bluebellpath/src/entry/state.rs
+++ b/crates/bluebellpath/src/entry/state.rs
@@ -33,6 +33,8 @@
     pub(super) teams: Names,
     pub(super) kinds: Names,
     pub(super) target_names: Names,
+    /// Where the instance stands in its life, as peers and balancers see it.
+    pub(super) phase: Cell<Phase>,
     tickets: Cell<u64>,
 }
 
@@ -56,6 +58,7 @@
             teams: Names::default(),
             kinds: Names::default(),
             target_names: Names::default(),
+            phase: Cell::new(Phase::Serving),
             tickets: Cell::new(0),
             config,
             env,
@@ -82,7 +85,7 @@
 impl Source for State {
     fn fill(&self, heartbeat: &mut Heartbeat) {
         let dispatcher = self.dispatcher.borrow();
-        heartbeat.phase = Phase::Serving;
+        heartbeat.phase = self.phase.get();
         heartbeat.config_version = self.env.config.view().version;
         heartbeat.load = Load {
             waiting: dispatcher.waiting() as u32,
--- a/crates/bluebellpath/src/http/reader.rs
+++ b/crates/bluebellpath/src/http/reader.rs
@@ -92,6 +92,11 @@
             .ok_or(Fault::TimedOut)?
     }
 
+    /// True when input is here that has not been taken yet.
+    pub(super) fn has_input(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
     /// Gives back the buffer when nothing is left in it, so that a connection
     /// whose answer is awaited holds none.
     pub(super) fn release(&mut self) {
--- a/crates/bluebellpath/src/http/server.rs
+++ b/crates/bluebellpath/src/http/server.rs
@@ -1,6 +1,6 @@
 //! Serving side.
 
-use std::{cell::Cell, rc::Rc};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use ::http::{HeaderMap, HeaderValue, StatusCode, Version, header};
 use bluebellpath_runtime::{LocalFuture, Notify, clock, spawn};
@@ -16,6 +16,22 @@
 
 use super::{Fault, Limits, Request, Response, reader::Reader};
 
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// Longest wait for one more connection before a listener closes.
+const BACKLOG_WAIT: Duration = Duration::from_millis(20);
+
+/// Longest time for emptying the backlog.
+const MAX_BACKLOG: Duration = Duration::from_millis(500);
+
+/// Wait for a request that may be under way on an idle connection that is to
+/// close, several times the way from a caller.
+const LAST_CALL: Duration = Duration::from_millis(100);
+
+/// Status of the last answer on a connection that idled too long.
+const IDLE_STATUS: StatusCode = StatusCode::REQUEST_TIMEOUT;
+
 /// Answers requests.
 pub trait Service {
     /// Answers one request.
@@ -39,6 +55,7 @@
     closing: Cell<bool>,
     closed: Notify,
     open: Cell<usize>,
+    listening: Cell<bool>,
 }
 
 /// Handle that ends a running server.
@@ -52,6 +69,11 @@
         self.0.closed.notify();
     }
 
+    /// True once the listener is closed and the last connection has ended.
+    pub fn is_done(&self) -> bool {
+        !self.0.listening.get() && self.open() == 0
+    }
+
     /// Connections still open.
     pub fn open(&self) -> usize {
         self.0.open.get()
@@ -67,6 +89,7 @@
             closing: Cell::new(false),
             closed: Notify::new(),
             open: Cell::new(0),
+            listening: Cell::new(true),
         };
         Server {
             listener,
@@ -89,12 +112,26 @@
                     drop(spawn(serve(stream, self.shared.clone())));
                 }
                 // Out of descriptors: accepting again at once would spin.
-                Either::Left((Err(_), _)) => {
-                    clock::sleep(std::time::Duration::from_millis(10)).await;
-                }
+                Either::Left((Err(_), _)) => clock::sleep(ACCEPT_PAUSE).await,
                 Either::Right(_) => {}
             }
         }
+        self.empty_backlog().await;
+        self.shared.listening.set(false);
+    }
+
+    /// Accepts what connected before the listener closes, which would else
+    /// reset connections whose requests are under way.
+    async fn empty_backlog(&self) {
+        // Callers that never stop connecting can't hold up the end.
+        let deadline = clock::now() + MAX_BACKLOG;
+        while clock::now() < deadline {
+            let accept = self.listener.accept();
+            let Some(Ok((stream, _))) = clock::timeout(BACKLOG_WAIT, accept).await else {
+                return;
+            };
+            drop(spawn(serve(stream, self.shared.clone())));
+        }
     }
 }
 
@@ -119,7 +156,18 @@
     let _ = stream.set_nodelay(true);
     let (read, mut write) = stream.into_split();
     let mut reader = Reader::new(read);
-    while wait(&mut reader, &shared).await {
+    loop {
+        match wait(&mut reader, &shared).await {
+            Wait::Request => {}
+            Wait::Idle => {
+                // A request may be under way; this answer says that it was not
+                // run, which stays true because nothing more is read.
+                let response = shared.service.malformed(IDLE_STATUS, Fault::TimedOut);
+                send_within(&mut write, response, false, &shared.limits).await;
+                break;
+            }
+            Wait::Gone => return,
+        }
         let received = receive(&mut reader, &mut write, &shared.limits).await;
         reader.release();
         let (response, keep) = match received {
@@ -129,9 +177,9 @@
                 None => return,
             },
         };
-        let keep = keep && !shared.closing.get();
-        let sent = clock::timeout(shared.limits.write, send(&mut write, response, keep)).await;
-        if sent != Some(true) {
+        // Requests that were sent ahead are still answered before the end.
+        let keep = keep && (!shared.closing.get() || reader.has_input());
+        if !send_within(&mut write, response, keep, &shared.limits).await {
             return;
         }
         if !keep {
@@ -141,6 +189,16 @@
     linger(reader, write, &shared.limits).await;
 }
 
+async fn send_within(
+    write: &mut impl AsyncWriteRent,
+    response: Response,
+    keep: bool,
+    limits: &Limits,
+) -> bool {
+    let sent = clock::timeout(limits.write, send(write, response, keep)).await;
+    sent == Some(true)
+}
+
 /// Lets the other side read the last answer before the connection is reset by
 /// input that nobody reads.
 async fn linger(
@@ -153,15 +211,33 @@
     clock::timeout(limits.message / 10, drain).await;
 }
 
-async fn wait(reader: &mut Reader<TcpOwnedReadHalf>, shared: &Shared) -> bool {
-    if shared.closing.get() {
-        return false;
+/// What came of waiting for a request.
+enum Wait {
+    /// Its first byte is here.
+    Request,
+    /// None came in time.
+    Idle,
+    /// The other side has closed the connection.
+    Gone,
+}
+
+async fn wait(reader: &mut Reader<TcpOwnedReadHalf>, shared: &Shared) -> Wait {
+    let closed = shared.closed.notified();
+    if !shared.closing.get() {
+        let first = std::pin::pin!(first_byte(reader, shared.limits.idle));
+        let closed = std::pin::pin!(closed);
+        if let Either::Left((waited, _)) = select(first, closed).await {
+            return waited;
+        }
     }
-    let first = std::pin::pin!(clock::timeout(shared.limits.idle, reader.wait()));
-    let closed = std::pin::pin!(shared.closed.notified());
-    match select(first, closed).await {
-        Either::Left((first, _)) => matches!(first, Some(Ok(true))),
-        Either::Right(_) => false,
+    first_byte(reader, LAST_CALL).await
+}
+
+async fn first_byte(reader: &mut Reader<TcpOwnedReadHalf>, limit: Duration) -> Wait {
+    match clock::timeout(limit, reader.wait()).await {
+        Some(Ok(true)) => Wait::Request,
+        Some(Ok(false) | Err(_)) => Wait::Gone,
+        None => Wait::Idle,
     }
 }
 
--- /dev/null
+++ b/crates/bluebellpath/tests/daemon/bad_input.rs
@@ -0,0 +1,1 @@
+//! Malformed requests.
--- a/crates/bluebellpathd/src/main.rs
+++ b/crates/bluebellpathd/src/main.rs
@@ -28,7 +28,16 @@
         return ExitCode::SUCCESS;
     }
     match runtime::block_on(daemon::run(settings)) {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(stopped) if stopped.is_clean() => ExitCode::SUCCESS,
+        Ok(stopped) => {
+            let left = stopped.left();
+            eprintln!(
+                "bluebellpathd: stopped early; lost: {} jobs without an answer, \
+                 {} tasks waiting, {} tasks running, {} record entries",
+                left.jobs, left.waiting, left.running, left.unwritten
+            );
+            ExitCode::FAILURE
+        }
         Err(error) => {
             eprintln!("bluebellpathd: {error}");
             ExitCode::FAILURE
