--- /dev/null
+++ b/crates/bluebellpath/src/entry/ask.rs
@@ -0,0 +1,111 @@
+//! Questions for an answer, and cancellations, wherever the job's home is.
+
+use std::{rc::Rc, time::Duration};
+
+use bluebellpath_runtime::clock;
+
+use super::{
+    doubt,
+    forward::{self, Passed},
+    job::Verdict,
+    pump,
+    route::{self, Route},
+    state::State,
+    submit, taken,
+};
+use crate::{
+    job::{Answer, Id},
+    owner::Use,
+    peer::Request,
+};
+
+/// Longest wait for an answer from elsewhere.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// What is asked of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Ask {
+    /// Its answer.
+    Fetch,
+    /// To cancel it.
+    Cancel,
+}
+
+/// What came of a question.
+pub(super) enum Told {
+    /// Answer of the job.
+    Answer(Rc<Answer>),
+    /// No such job at its home.
+    Missing,
+    /// This instance is not the home and may not pass the question on.
+    NotHome,
+}
+
+/// Asks for a job at its home and waits for the answer.
+pub(super) async fn ask(state: &Rc<State>, ask: Ask, id: &Id, hops: u8) -> Told {
+    let deadline = clock::now() + PATIENCE;
+    loop {
+        if let Some(answer) = here(state, ask, id).await {
+            return Told::Answer(answer);
+        }
+        match route::route(state, id) {
+            Route::Here => return unknown_here(state, id).await,
+            Route::Gone => {
+                let detail = "the instance that issued the ticket is gone";
+                return Told::Answer(doubt::unknown(state, id, None, detail));
+            }
+            Route::Peers(_) if hops == 0 => return Told::NotHome,
+            Route::Peers(peers) => {
+                let request = request(ask, id, hops - 1);
+                match forward::pass(state, &peers, id, &request, deadline).await {
+                    Passed::Answer(answer) => return Told::Answer(answer),
+                    Passed::Missing => return Told::Missing,
+                    Passed::Refusal(_) | Passed::NotHome | Passed::Lost => {}
+                }
+            }
+            Route::Wait => {}
+        }
+        if clock::now() >= deadline {
+            let detail = "the home of the id was not reached";
+            return Told::Answer(doubt::unknown(state, id, None, detail));
+        }
+        submit::changed(state, deadline).await;
+    }
+}
+
+fn request(ask: Ask, id: &Id, hops: u8) -> Request {
+    let id = id.clone();
+    match ask {
+        Ask::Fetch => Request::Fetch { id, hops },
+        Ask::Cancel => Request::Cancel { id, hops },
+    }
+}
+
+/// Answer of a job that this instance has.
+async fn here(state: &Rc<State>, ask: Ask, id: &Id) -> Option<Rc<Answer>> {
+    let job = state.jobs.find(id)?;
+    if ask == Ask::Cancel {
+        pump::cancel(state, &job);
+    }
+    match job.settled().await {
+        Verdict::Answer(answer) => Some(answer),
+        Verdict::Mismatch | Verdict::Moved => None,
+    }
+}
+
+/// What this instance, the home of the id, knows of a job that it has not.
+async fn unknown_here(state: &State, id: &Id) -> Told {
+    let detail = match id {
+        Id::Ticket(ticket) => match state.tickets.state(ticket) {
+            Use::Fresh | Use::Unissued => return Told::Missing,
+            Use::Used => "the ticket was used; its answer is no longer kept",
+            Use::Expired => "the ticket is too old to tell whether it was used",
+        },
+        Id::Key(key) => match state.claims.read(key).await {
+            Ok(None) => return Told::Missing,
+            Ok(Some(claimed)) => return Told::Answer(taken::fetched(state, id, &claimed).await),
+            Err(_) => "the store did not say whether the key was used",
+        },
+    };
+    Told::Answer(doubt::unknown(state, id, None, detail))
+}
--- a/crates/bluebellpath/src/entry/config.rs
+++ b/crates/bluebellpath/src/entry/config.rs
@@ -2,7 +2,8 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use crate::{job::Incarnation, peer, settings::Domain};
+use super::Planted;
+use crate::{job::Incarnation, owner, peer, settings::Domain};
 
 /// Configuration of an entry instance.
 #[derive(Clone, Debug)]
@@ -25,13 +26,20 @@
     pub task_lease: Duration,
     /// Time for which an answer is kept after it was given.
     pub retention: Duration,
+    /// Time for which an answer is kept that the job was refused or came too
+    /// late to run; the same id may be submitted anew after that.
+    pub refused_retention: Duration,
     /// Most jobs that are kept, answered ones included.
     pub max_jobs: usize,
+    /// Leases and claims.
+    pub owner: owner::Config,
+    /// Fault that a test of the checkers plants; `None` in any daemon.
+    pub planted: Option<Planted>,
 }
 
 impl Config {
     /// Instance `name` in the only domain: list read each second, tasks leased
-    /// for 10 s, answers kept for 60 s, at most 100,000 jobs.
+    /// for 10 s, answers kept for 60 s, refusals for 1 s, at most 100,000 jobs.
     pub fn new(name: &str, incarnation: Incarnation, address: SocketAddr) -> Config {
         Config {
             name: name.to_owned(),
@@ -43,7 +51,10 @@
             list_interval: Duration::from_secs(1),
             task_lease: Duration::from_secs(10),
             retention: Duration::from_secs(60),
+            refused_retention: Duration::from_secs(1),
             max_jobs: 100_000,
+            owner: owner::Config::default(),
+            planted: None,
         }
     }
 }
--- /dev/null
+++ b/crates/bluebellpath/src/entry/doubt.rs
@@ -0,0 +1,44 @@
+//! Answers about jobs of which this instance has no account.
+
+use std::rc::Rc;
+
+use super::state::State;
+use crate::job::{Answer, Id, Outcome, Part, Submission};
+
+/// Answer with `outcome` about a job that has no other account of its tasks.
+pub(super) fn answer(
+    state: &State,
+    id: &Id,
+    submission: Option<&Submission>,
+    outcome: Outcome,
+    detail: &str,
+) -> Rc<Answer> {
+    let view = state.env.config.view();
+    let tasks = submission.map_or(&[][..], |it| &it.tasks);
+    let part = |caller: &str| Part {
+        caller: caller.to_owned(),
+        outcome,
+        target: None,
+        result: None,
+        elapsed_us: None,
+    };
+    Rc::new(Answer {
+        id: id.clone(),
+        outcome,
+        detail: Some(detail.to_owned()),
+        retry_after_ms: None,
+        parts: tasks.iter().map(|it| part(&it.caller)).collect(),
+        preset: view.document.preset.clone(),
+        config_version: view.version,
+    })
+}
+
+/// Answer that it is not known what became of a job.
+pub(super) fn unknown(
+    state: &State,
+    id: &Id,
+    submission: Option<&Submission>,
+    detail: &str,
+) -> Rc<Answer> {
+    answer(state, id, submission, Outcome::Unknown, detail)
+}
--- /dev/null
+++ b/crates/bluebellpath/src/entry/home.rs
@@ -0,0 +1,270 @@
+//! Jobs whose home is this instance.
+
+use std::{rc::Rc, time::Duration};
+
+use bluebellpath_dispatch::{self as dispatch, KindId, Reason, TeamId};
+use bluebellpath_runtime::{Instant, clock, spawn};
+
+use super::{
+    Planted, Refusal, doubt, evict,
+    job::{Cause, Ending, Job, Verdict},
+    pump,
+    state::State,
+    taken,
+};
+use crate::{
+    job::{Answer, Digest, Id, Key, Outcome, Submission, Ticket},
+    owner::{Claim, Grant, Use},
+};
+
+/// What came of a request at its home.
+pub(super) enum Settled {
+    /// Answer of the job.
+    Answer(Rc<Answer>),
+    /// No answer of a job.
+    Refusal(Refusal),
+    /// This instance is not the home any more.
+    Moved,
+}
+
+/// Submits a job here, or joins one with the same id, and waits for the answer.
+pub(super) async fn submit(
+    state: &Rc<State>,
+    id: &Id,
+    submission: &Submission,
+    arrived: Instant,
+    waited: Duration,
+) -> Settled {
+    if let Some(settled) = join(state, id, submission).await {
+        return settled;
+    }
+    let waited = waited + (clock::now() - arrived);
+    if let Err(settled) = admit(state, id, submission, waited).await {
+        return settled;
+    }
+    // While the key was looked up, another request may have come in.
+    if let Some(settled) = join(state, id, submission).await {
+        return settled;
+    }
+    if !evict::make_room(state) {
+        return Settled::Refusal(Refusal::Full { id: id.clone() });
+    }
+    if let Id::Ticket(ticket) = id {
+        state.tickets.mark(ticket);
+    }
+    let number = state.jobs.number();
+    let view = state.env.config.view();
+    let job = Job::new(id.clone(), number, submission.clone(), view, waited);
+    let job = Rc::new(job);
+    state.jobs.insert(job.clone());
+    state.order.admit(&job);
+    // A task of its own: the job goes on when the caller's connection ends.
+    drop(spawn(drive(state.clone(), job.clone())));
+    settled(id, job.settled().await)
+}
+
+/// Joins the job that is known under the id; `None` without one.
+pub(super) async fn join(state: &State, id: &Id, submission: &Submission) -> Option<Settled> {
+    let digest = Digest::of(submission);
+    loop {
+        let job = state.jobs.find(id)?;
+        if job.digest == digest {
+            return Some(settled(id, job.settled().await));
+        }
+        // Only the claim tells which of two contents the id belongs to.
+        job.decided().await;
+        if state
+            .jobs
+            .find(id)
+            .is_some_and(|it| it.number == job.number)
+        {
+            return Some(settled(id, Verdict::Mismatch));
+        }
+    }
+}
+
+fn settled(id: &Id, verdict: Verdict) -> Settled {
+    match verdict {
+        Verdict::Answer(answer) => Settled::Answer(answer),
+        Verdict::Mismatch => Settled::Refusal(Refusal::Mismatch { id: id.clone() }),
+        Verdict::Moved => Settled::Moved,
+    }
+}
+
+/// Settles what needs no job: used tickets, and jobs that can never run.
+async fn admit(
+    state: &State,
+    id: &Id,
+    submission: &Submission,
+    waited: Duration,
+) -> Result<(), Settled> {
+    let unknown = |detail| Settled::Answer(doubt::unknown(state, id, Some(submission), detail));
+    if let Id::Ticket(ticket) = id {
+        fresh(state, ticket).map_err(unknown)?;
+    }
+    let Some(detail) = hopeless(state, submission, waited) else {
+        return Ok(());
+    };
+    if let Id::Key(key) = id {
+        match state.claims.read(key).await {
+            Ok(None) => {}
+            Ok(Some(claimed)) => {
+                return Err(
+                    match taken::submitted(state, id, submission, &claimed).await {
+                        Ok(answer) => Settled::Answer(answer),
+                        Err(refusal) => Settled::Refusal(refusal),
+                    },
+                );
+            }
+            Err(_) => {
+                return Err(unknown(
+                    "it can't run now; whether it ran before is not known",
+                ));
+            }
+        }
+    }
+    let not_run = Outcome::NotRun;
+    let answer = doubt::answer(state, id, Some(submission), not_run, detail);
+    Err(Settled::Answer(answer))
+}
+
+fn fresh(state: &State, ticket: &Ticket) -> Result<(), &'static str> {
+    match state.tickets.state(ticket) {
+        Use::Fresh => Ok(()),
+        Use::Used if state.config.planted == Some(Planted::ForgetTicket) => Ok(()),
+        Use::Used => Err("the ticket was used; its answer is no longer kept"),
+        Use::Expired => Err("the ticket is too old to tell whether it was used"),
+        Use::Unissued => Err("the ticket was never issued"),
+    }
+}
+
+/// Why a job can never run; `None` when it may.
+fn hopeless(state: &State, submission: &Submission, waited: Duration) -> Option<&'static str> {
+    if waited >= Duration::from_millis(submission.deadline_ms) {
+        return Some("the deadline passed before it could start");
+    }
+    let targets = state.targets.borrow();
+    let largest = targets.values().map(|it| it.slots).max()?;
+    let too_large = submission.tasks.iter().any(|it| it.size > largest);
+    too_large.then_some("no target takes tasks of this size")
+}
+
+/// Whether this instance may start a job.
+enum Right {
+    Ours,
+    Moved,
+    Taken(Settled),
+    Unknown(&'static str),
+}
+
+async fn drive(state: Rc<State>, job: Rc<Job>) {
+    match right(&state, &job).await {
+        Right::Ours => {
+            job.own();
+            queue(&state, &job);
+        }
+        Right::Moved => leave(&state, &job, Verdict::Moved),
+        Right::Taken(Settled::Answer(answer)) => leave(&state, &job, Verdict::Answer(answer)),
+        Right::Taken(Settled::Refusal(_)) => leave(&state, &job, Verdict::Mismatch),
+        Right::Taken(Settled::Moved) => leave(&state, &job, Verdict::Moved),
+        Right::Unknown(detail) => {
+            job.doubt();
+            job.set_cause(Cause {
+                detail: detail.to_owned(),
+                retry_after_ms: None,
+            });
+            pump::answer(&state, &job, Outcome::Unknown);
+            state.jobs.remove(&job);
+        }
+    }
+}
+
+/// Forgets a job that is not this instance's.
+fn leave(state: &State, job: &Job, verdict: Verdict) {
+    state.jobs.remove(job);
+    job.settle(verdict);
+    for job in state.order.leave(job) {
+        job.deliver();
+    }
+}
+
+async fn right(state: &State, job: &Job) -> Right {
+    let Id::Key(key) = &job.id else {
+        return Right::Ours;
+    };
+    if state.config.planted == Some(Planted::ForgetClaim) {
+        return Right::Ours;
+    }
+    match clock::timeout_at(job.deadline, state.claims.claim(key, job.digest)).await {
+        Some(Claim::Granted(grant)) => granted(state, job, key, grant),
+        Some(Claim::Taken(claimed)) => {
+            let taken = taken::submitted(state, &job.id, &job.submission, &claimed).await;
+            Right::Taken(match taken {
+                Ok(answer) => Settled::Answer(answer),
+                Err(refusal) => Settled::Refusal(refusal),
+            })
+        }
+        Some(Claim::Moved) => Right::Moved,
+        Some(Claim::Busy) => {
+            Right::Unknown("too many keys wait for the store; this request started nothing")
+        }
+        // The claim may still take effect, and is taken back then: nothing of
+        // this request ran. Whether the key was used before is not known.
+        None => Right::Unknown(
+            "the store did not say whether the key was used before; this request started nothing",
+        ),
+    }
+}
+
+fn granted(state: &State, job: &Job, key: &Key, grant: Grant) -> Right {
+    if clock::now() < job.deadline {
+        job.grant.set(Some(grant));
+        return Right::Ours;
+    }
+    state.claims.ended(key, job.digest, grant, None);
+    Right::Unknown("the claim came too late; this request started nothing")
+}
+
+fn queue(state: &Rc<State>, job: &Rc<Job>) {
+    if job.cancelled.get() {
+        return pump::answer(state, job, Outcome::NotRun);
+    }
+    let submission = &job.submission;
+    let task = |(index, it): (usize, &crate::job::Spec)| dispatch::Task {
+        index: index as u32,
+        kind: KindId(state.kinds.number(&it.kind)),
+        size: it.size,
+        declared: it.run_time_ms.map(Duration::from_millis),
+    };
+    let queued = dispatch::Job {
+        id: job.number,
+        team: TeamId(state.teams.number(&submission.team)),
+        deadline: job.deadline,
+        tasks: submission.tasks.iter().enumerate().map(task).collect(),
+    };
+    let submitted = state.dispatcher.borrow_mut().submit(queued, clock::now());
+    match submitted {
+        Ok(()) => state.work.notify(),
+        Err(refusal) => {
+            refuse(job, refusal);
+            pump::answer(state, job, Outcome::NotRun);
+        }
+    }
+}
+
+fn refuse(job: &Job, refusal: dispatch::Refusal) {
+    let detail = match refusal.reason {
+        Reason::TooLarge => "no target takes tasks of this size",
+        Reason::Deadline => "the deadline is below the least possible time",
+        Reason::Quota => "the team is over its quota",
+        Reason::Overload => "too much work waits already",
+    };
+    let retry_after_ms = refusal.retry_after.map(|it| it.as_millis() as u64);
+    job.set_cause(Cause {
+        detail: detail.to_owned(),
+        retry_after_ms,
+    });
+    for index in 0..job.submission.tasks.len() {
+        job.ended(index as u32, Ending::not_run());
+    }
+}
--- a/crates/bluebellpath/src/entry/job.rs
+++ b/crates/bluebellpath/src/entry/job.rs
@@ -2,18 +2,33 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeSet,
     rc::Rc,
+    time::Duration,
 };
 
 use bluebellpath_dispatch::JobId;
 use bluebellpath_runtime::{Instant, Notify, clock};
 
+use super::Planted;
 use crate::{
     config::View,
     job::{Answer, Digest, Id, Outcome, Part, Submission, TaskId},
+    owner::Grant,
     platform::Instance,
 };
 
+/// What those who wait for a job are told.
+#[derive(Clone, Debug)]
+pub(super) enum Verdict {
+    /// The answer.
+    Answer(Rc<Answer>),
+    /// The id belongs to a job with other content.
+    Mismatch,
+    /// The job is another instance's; nothing of it started here.
+    Moved,
+}
+
 /// Why a job is not complete, and when to ask again.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Cause {
@@ -41,18 +56,30 @@
     pub(super) digest: Digest,
     pub(super) submission: Submission,
     pub(super) view: Rc<View>,
-    pub(super) submitted: Instant,
     pub(super) submitted_ms: u64,
+    pub(super) deadline: Instant,
     pub(super) cancelled: Cell<bool>,
+    pub(super) grant: Cell<Option<Grant>>,
+    /// True once this instance has the right to start the job.
+    owned: Cell<bool>,
     slots: RefCell<Vec<Slot>>,
     left: Cell<usize>,
     cause: RefCell<Option<Cause>>,
     answer: RefCell<Option<Rc<Answer>>>,
+    verdict: RefCell<Option<Verdict>>,
     done: Notify,
 }
 
 impl Job {
-    pub(super) fn new(id: Id, number: JobId, submission: Submission, view: Rc<View>) -> Job {
+    /// Job whose request has been on its way for `waited`.
+    pub(super) fn new(
+        id: Id,
+        number: JobId,
+        submission: Submission,
+        view: Rc<View>,
+        waited: Duration,
+    ) -> Job {
+        let limit = Duration::from_millis(submission.deadline_ms);
         let slots: Vec<Slot> = submission
             .tasks
             .iter()
@@ -63,14 +90,17 @@
             number,
             digest: Digest::of(&submission),
             view,
-            submitted: clock::now(),
             submitted_ms: clock::wall(),
+            deadline: clock::now() + limit.saturating_sub(waited),
             cancelled: Cell::new(false),
+            grant: Cell::new(None),
+            owned: Cell::new(false),
             left: Cell::new(slots.len()),
             slots: RefCell::new(slots),
             submission,
             cause: RefCell::default(),
             answer: RefCell::default(),
+            verdict: RefCell::default(),
             done: Notify::new(),
         }
     }
@@ -140,13 +170,22 @@
         Outcome::of_job(self.slots.borrow().iter().map(|it| it.part.outcome))
     }
 
-    /// Builds the answer from the tasks' ends and wakes who waits for it.
-    pub(super) fn finish(&self, outcome: Outcome) {
+    /// Callers of the job, each once.
+    pub(super) fn callers(&self) -> BTreeSet<&str> {
+        let tasks = self.submission.tasks.iter();
+        tasks.map(|it| it.caller.as_str()).collect()
+    }
+
+    /// Builds the answer from the tasks' ends; [`Job::deliver`] hands it out.
+    pub(super) fn finish(&self, outcome: Outcome, planted: Option<Planted>) {
         let mut parts: Vec<Part> = self.slots.borrow_mut().iter_mut().map(Slot::take).collect();
         let cause = self.cause.borrow().clone().unwrap_or_default();
-        if outcome != Outcome::Complete {
+        if outcome != Outcome::Complete && planted != Some(Planted::Partial) {
             parts.iter_mut().for_each(|it| it.result = None);
         }
+        if planted == Some(Planted::MixCallers) {
+            parts.reverse();
+        }
         let detail = (!cause.detail.is_empty()).then_some(cause.detail);
         let answer = Answer {
             id: self.id.clone(),
@@ -158,20 +197,58 @@
             config_version: self.view.version,
         };
         *self.answer.borrow_mut() = Some(Rc::new(answer));
+    }
+
+    /// Marks all tasks as of unknown outcome.
+    pub(super) fn doubt(&self) {
+        let mut slots = self.slots.borrow_mut();
+        slots
+            .iter_mut()
+            .for_each(|it| it.part.outcome = Outcome::Unknown);
+    }
+
+    /// Hands the answer out to all who wait for it.
+    pub(super) fn deliver(&self) {
+        if let Some(answer) = self.answer.borrow().clone() {
+            self.settle(Verdict::Answer(answer));
+        }
+    }
+
+    /// Tells all who wait for the job what became of it.
+    pub(super) fn settle(&self, verdict: Verdict) {
+        *self.verdict.borrow_mut() = Some(verdict);
+        self.done.notify();
+    }
+
+    /// Notes that this instance has the right to start the job.
+    pub(super) fn own(&self) {
+        self.owned.set(true);
         self.done.notify();
     }
 
-    /// True once the answer is there.
+    /// True once the answer is known.
     pub(super) fn is_answered(&self) -> bool {
         self.answer.borrow().is_some()
     }
 
-    /// Waits for the answer.
-    pub(super) async fn answered(&self) -> Rc<Answer> {
+    /// Waits until this instance has the right to start the job, or until the
+    /// job is settled without it.
+    pub(super) async fn decided(&self) {
+        loop {
+            let done = self.done.notified();
+            if self.owned.get() || self.verdict.borrow().is_some() {
+                return;
+            }
+            done.await;
+        }
+    }
+
+    /// Waits until it is settled what those who wait are told.
+    pub(super) async fn settled(&self) -> Verdict {
         loop {
             let done = self.done.notified();
-            if let Some(answer) = self.answer.borrow().as_ref() {
-                return answer.clone();
+            if let Some(verdict) = self.verdict.borrow().as_ref() {
+                return verdict.clone();
             }
             done.await;
         }
--- a/crates/bluebellpath/src/entry/jobs.rs
+++ b/crates/bluebellpath/src/entry/jobs.rs
@@ -2,20 +2,23 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     rc::Rc,
 };
 
 use bluebellpath_dispatch::JobId;
+use bluebellpath_runtime::Instant;
 
 use super::job::Job;
 use crate::job::Id;
 
-/// Jobs by id and by number.
+/// Jobs by id and by number, with the order in which answered ones go.
 #[derive(Default)]
 pub(super) struct Jobs {
     by_id: RefCell<HashMap<Id, Rc<Job>>>,
     by_number: RefCell<HashMap<JobId, Rc<Job>>>,
+    /// Answered jobs by the time until which they are kept.
+    answered: RefCell<BTreeSet<(Instant, JobId)>>,
     numbers: Cell<u64>,
 }
 
@@ -48,6 +51,28 @@
         self.by_id.borrow_mut().remove(&job.id);
     }
 
+    /// Keeps an answered job until `until`.
+    pub(super) fn keep(&self, job: &Job, until: Instant) {
+        self.answered.borrow_mut().insert((until, job.number));
+    }
+
+    /// Forgets the answered job that is due first, if it is due by `by`.
+    pub(super) fn evict(&self, by: Instant) -> Option<Rc<Job>> {
+        let first = *self.answered.borrow().first()?;
+        if first.0 > by {
+            return None;
+        }
+        self.answered.borrow_mut().remove(&first);
+        let job = self.get(first.1)?;
+        self.remove(&job);
+        Some(job)
+    }
+
+    /// Time at which the next answered job is due.
+    pub(super) fn next_eviction(&self) -> Option<Instant> {
+        self.answered.borrow().first().map(|it| it.0)
+    }
+
     /// Jobs that are kept.
     pub(super) fn len(&self) -> usize {
         self.by_id.borrow().len()
--- a/crates/bluebellpath/src/entry/mod.rs
+++ b/crates/bluebellpath/src/entry/mod.rs
@@ -1,8 +1,9 @@
 /*!
 One entry instance: from a submission to its answer.
 
-[`Entry::submit`] follows a job straight down: find the job under its id, admit
-it, claim its key, queue its tasks, wait until each has ended, answer. A pump
+[`Entry::submit`] follows a job straight down: find its home and pass it on
+there, or, at home, find the job under its id, admit it, claim its key, queue
+its tasks, wait until each has ended, answer. A pump
 takes assignments from the dispatcher and spawns one task for each; the reports
 of those tasks free slots, which starts the pump again.
 
@@ -10,24 +11,40 @@
 one's [`job`](crate::job) under the id and waits for the same answer.
 */
 
+mod ask;
+mod check;
 mod config;
+mod doubt;
 mod env;
+mod evict;
+mod fence;
+mod forward;
+mod home;
 mod job;
 mod jobs;
 mod names;
+mod order;
+mod planted;
 mod pump;
 mod refusal;
+mod route;
 mod serve;
 mod state;
 mod submit;
+mod taken;
 
 pub use config::Config;
 pub use env::Env;
+pub use planted::Planted;
 pub use refusal::Refusal;
 
 use std::rc::Rc;
 
-use self::state::State;
+use self::{
+    ask::{Ask, Told},
+    state::State,
+    submit::Way,
+};
 use crate::{
     job::{Answer, Id, Submission, Ticket},
     peer::Membership,
@@ -50,6 +67,8 @@
         drop(bluebellpath_runtime::spawn(
             state.membership.clone().run(state),
         ));
+        self.0.claims.start();
+        drop(bluebellpath_runtime::spawn(evict::run(self.0.clone())));
         drop(bluebellpath_runtime::spawn(pump::run(self.0.clone())));
         drop(bluebellpath_runtime::spawn(pump::follow_targets(
             self.0.clone(),
@@ -63,25 +82,44 @@
 
     /// Hands out a job id that only this incarnation will ever start.
     pub fn ticket(&self) -> Ticket {
-        self.0.ticket()
+        self.0.tickets.issue()
     }
 
-    /// Submits a job, or joins one with the same id, and waits for the answer.
+    /// Submits a job at its home, or joins one with the same id, and waits for
+    /// the answer.
     pub async fn submit(&self, id: Id, submission: Submission) -> Result<Rc<Answer>, Refusal> {
-        submit::submit(&self.0, id, submission).await
+        let answer = submit::submit(&self.0, id.clone(), submission.clone(), Way::first()).await?;
+        Ok(answer.unwrap_or_else(|| {
+            let detail = "the home of the id was not reached";
+            doubt::unknown(&self.0, &id, Some(&submission), detail)
+        }))
     }
 
-    /// Waits for the answer to a job; `None` when there is no such job here.
+    /// Waits for the answer to a job; `None` when its home knows of none.
     pub async fn fetch(&self, id: &Id) -> Option<Rc<Answer>> {
-        let job = self.0.jobs.find(id)?;
-        Some(job.answered().await)
+        self.ask(Ask::Fetch, id).await
     }
 
     /// Cancels a job and waits for the answer, which says what still ran;
-    /// `None` when there is no such job here.
+    /// `None` when its home knows of none.
     pub async fn cancel(&self, id: &Id) -> Option<Rc<Answer>> {
-        let job = self.0.jobs.find(id)?;
-        pump::cancel(&self.0, &job);
-        Some(job.answered().await)
+        self.ask(Ask::Cancel, id).await
+    }
+
+    /// Hands the shards of callers' keys over to peers, for a planned stop.
+    pub async fn release_ownership(&self) {
+        self.0.claims.release().await;
+    }
+
+    /// Transactions that claims and leases took so far.
+    pub fn claim_transactions(&self) -> u64 {
+        self.0.claims.transactions()
+    }
+
+    async fn ask(&self, ask: Ask, id: &Id) -> Option<Rc<Answer>> {
+        match ask::ask(&self.0, ask, id, route::MAX_HOPS).await {
+            Told::Answer(answer) => Some(answer),
+            Told::Missing | Told::NotHome => None,
+        }
     }
 }
--- a/crates/bluebellpath/src/entry/pump.rs
+++ b/crates/bluebellpath/src/entry/pump.rs
@@ -8,14 +8,16 @@
 use slog::{debug, warn};
 
 use super::{
+    Planted, evict,
+    fence::Right,
     job::{Cause, Ending, Job},
     state::State,
 };
 use crate::{
-    job::Outcome,
+    job::{Id, Outcome},
     platform::{self, Instance, Role},
     record,
-    target::{self, Fault, Open, Reason, Start, Status},
+    target::{self, Fault, Reason, Start, Status},
 };
 
 /// Starts tasks as slots come free, and drops those that are too late.
@@ -76,7 +78,10 @@
     let began = clock::now();
     let spec = &job.submission.tasks[assignment.task as usize];
     let task = job.task(assignment.task);
-    let deadline = job.submitted + Duration::from_millis(job.submission.deadline_ms);
+    let fence = Rc::new(Right {
+        job: job.clone(),
+        planted: state.config.planted,
+    });
     let start = Start {
         task: &task,
         target: &target,
@@ -84,9 +89,9 @@
         payload: &spec.payload,
         size: spec.size,
         lease: state.config.task_lease,
-        timeout: deadline - began,
+        timeout: job.deadline - began,
     };
-    let result = state.env.targets.start(start, Rc::new(Open)).await;
+    let result = state.env.targets.start(start, fence).await;
     let elapsed = clock::now() - began;
     let (ending, task_ending) = endings(result, elapsed, &state, &job);
     if report(&state, assignment, ending, elapsed) == Next::Requeued {
@@ -150,7 +155,11 @@
                         detail,
                         retry_after_ms: None,
                     });
-                    (dispatch::Ending::Unknown, ran(Outcome::Unknown, None))
+                    let outcome = match state.config.planted {
+                        Some(Planted::NotRunAfterSend) => Outcome::NotRun,
+                        _ => Outcome::Unknown,
+                    };
+                    (dispatch::Ending::Unknown, ran(outcome, None))
                 }
             }
         }
@@ -173,12 +182,14 @@
     }
 }
 
-/// Gives the job's answer and enters it in the record.
+/// Gives the job's answer, in the order of its callers' requests, and enters
+/// it in the record.
 pub(super) fn answer(state: &State, job: &Rc<Job>, outcome: Outcome) {
     if job.is_answered() {
         return;
     }
-    job.finish(outcome);
+    job.finish(outcome, state.config.planted);
+    end_claim(state, job, outcome);
     state.record.append(record::Entry {
         job: job.id.clone(),
         instance: state.config.name.clone(),
@@ -191,6 +202,23 @@
         config_version: job.view.version,
         unconfirmed_since: job.view.unconfirmed_since,
     });
+    if job.cancelled.get() && state.config.planted == Some(Planted::DropAnswer) {
+        return;
+    }
+    for job in state.order.answered(job, outcome) {
+        job.deliver();
+    }
+    evict::keep(state, job, outcome);
+}
+
+/// Records the end with the claim. A job that came to nothing may be submitted
+/// anew; one that was cancelled stays cancelled.
+fn end_claim(state: &State, job: &Job, outcome: Outcome) {
+    if let (Id::Key(key), Some(grant)) = (&job.id, job.grant.get()) {
+        let anew = outcome == Outcome::NotRun && !job.cancelled.get();
+        let outcome = Some(outcome).filter(|_| !anew);
+        state.claims.ended(key, job.digest, grant, outcome);
+    }
 }
 
 /// Cancels a job: what waits never starts, what runs is told to stop.
--- a/crates/bluebellpath/src/entry/serve.rs
+++ b/crates/bluebellpath/src/entry/serve.rs
@@ -1,28 +1,62 @@
 //! Requests that peers pass on.
 
+use std::{rc::Rc, time::Duration};
+
 use bluebellpath_runtime::LocalFuture;
 
-use super::Entry;
-use crate::peer::{Handler, Reply, Request};
+use super::{
+    Entry, Refusal,
+    ask::{self, Ask, Told},
+    state::State,
+    submit::{self, Way},
+};
+use crate::{
+    job::{Id, Submission},
+    peer::{Handler, Reply, Request},
+};
 
 /// Serves requests of peers.
 pub(super) struct Peers(pub(super) Entry);
 
 impl Handler for Peers {
     fn handle(&self, request: Request) -> LocalFuture<'static, Reply> {
-        let entry = self.0.clone();
+        let state = self.0.0.clone();
         Box::pin(async move {
-            let answer = match request {
-                Request::Submit { id, submission } => {
-                    let Ok(answer) = entry.submit(id, submission).await else {
-                        return Reply::Mismatch;
+            match request {
+                Request::Submit {
+                    id,
+                    submission,
+                    waited_ms,
+                    hops,
+                } => {
+                    let way = Way {
+                        waited: Duration::from_millis(waited_ms),
+                        hops,
                     };
-                    Some(answer)
+                    submitted(&state, id, submission, way).await
                 }
-                Request::Fetch { id } => entry.fetch(&id).await,
-                Request::Cancel { id } => entry.cancel(&id).await,
-            };
-            answer.map_or(Reply::Missing, |it| Reply::Answer(Box::new((*it).clone())))
+                Request::Fetch { id, hops } => asked(&state, Ask::Fetch, &id, hops).await,
+                Request::Cancel { id, hops } => asked(&state, Ask::Cancel, &id, hops).await,
+            }
         })
     }
 }
+
+async fn submitted(state: &Rc<State>, id: Id, submission: Submission, way: Way) -> Reply {
+    match submit::submit(state, id, submission, way).await {
+        Ok(Some(answer)) => Reply::Answer(Box::new((*answer).clone())),
+        Ok(None) => Reply::NotOwner,
+        Err(Refusal::Full { .. }) => Reply::Full,
+        // Limits were checked where the request came in; a peer that has other
+        // limits is of another version, and the content won't do here.
+        Err(Refusal::Mismatch { .. } | Refusal::Invalid { .. }) => Reply::Mismatch,
+    }
+}
+
+async fn asked(state: &Rc<State>, ask: Ask, id: &Id, hops: u8) -> Reply {
+    match ask::ask(state, ask, id, hops).await {
+        Told::Answer(answer) => Reply::Answer(Box::new((*answer).clone())),
+        Told::Missing => Reply::Missing,
+        Told::NotHome => Reply::NotOwner,
+    }
+}
--- a/crates/bluebellpath/src/entry/state.rs
+++ b/crates/bluebellpath/src/entry/state.rs
@@ -9,10 +9,9 @@
 use bluebellpath_dispatch::{Dispatcher, TargetId};
 use bluebellpath_runtime::Notify;
 
-use super::{Config, Env, jobs::Jobs, names::Names};
+use super::{Config, Env, jobs::Jobs, names::Names, order::Order};
 use crate::{
-    job::Ticket,
-    owner::Claims,
+    owner::{Claims, Tickets},
     peer::{Heartbeat, Identity, Load, Membership, Phase, Source},
     platform::Instance,
     record::Log,
@@ -24,7 +23,9 @@
     pub(super) env: Env,
     pub(super) jobs: Jobs,
     pub(super) membership: Rc<Membership>,
-    pub(super) claims: Claims,
+    pub(super) order: Order,
+    pub(super) claims: Rc<Claims>,
+    pub(super) tickets: Tickets,
     pub(super) record: Log,
     pub(super) dispatcher: RefCell<Dispatcher>,
     /// Signals that the dispatcher may have something to start.
@@ -33,7 +34,7 @@
     pub(super) teams: Names,
     pub(super) kinds: Names,
     pub(super) target_names: Names,
-    tickets: Cell<u64>,
+    turns: Cell<usize>,
 }
 
 impl State {
@@ -45,10 +46,16 @@
             address: config.address,
         };
         let membership = Membership::new(identity, env.link.clone(), config.membership);
+        let membership = Rc::new(membership);
+        let table = env.table.clone();
+        let claims = Claims::new(table, membership.clone(), config.domains, config.owner);
+        let window = config.owner.max_tickets;
         State {
-            membership: Rc::new(membership),
+            membership,
             jobs: Jobs::default(),
-            claims: Claims::new(env.table.clone(), config.incarnation),
+            order: Order::new(config.planted),
+            claims: Rc::new(claims),
+            tickets: Tickets::new(config.domain, config.incarnation, window),
             record: Log::new(),
             dispatcher: RefCell::new(Dispatcher::new(Default::default())),
             work: Notify::new(),
@@ -56,26 +63,16 @@
             teams: Names::default(),
             kinds: Names::default(),
             target_names: Names::default(),
-            tickets: Cell::new(0),
+            turns: Cell::new(0),
             config,
             env,
         }
     }
 
-    pub(super) fn ticket(&self) -> Ticket {
-        self.tickets.set(self.tickets.get() + 1);
-        Ticket {
-            domain: self.config.domain,
-            incarnation: self.config.incarnation,
-            counter: self.tickets.get(),
-        }
-    }
-
-    /// True when `ticket` was handed out by this incarnation.
-    pub(super) fn issued(&self, ticket: &Ticket) -> bool {
-        ticket.incarnation == self.config.incarnation
-            && ticket.domain == self.config.domain
-            && (1..=self.tickets.get()).contains(&ticket.counter)
+    /// Number that grows with each call, to take peers in turn.
+    pub(super) fn turn(&self) -> usize {
+        self.turns.set(self.turns.get() + 1);
+        self.turns.get()
     }
 }
 
--- a/crates/bluebellpath/src/entry/submit.rs
+++ b/crates/bluebellpath/src/entry/submit.rs
@@ -1,160 +1,121 @@
-//! From a submission to its answer.
+//! From a submission to its answer, wherever its home is.
 
 use std::{rc::Rc, time::Duration};
 
-use bluebellpath_dispatch::{self as dispatch, KindId, Reason, TeamId};
-use bluebellpath_runtime::{clock, spawn};
+use bluebellpath_runtime::{Instant, clock};
+use futures_util::future::{Either, select};
 
 use super::{
-    Refusal,
-    job::{Cause, Ending, Job},
-    pump,
+    Refusal, check, doubt,
+    forward::{self, Passed},
+    home::{self, Settled},
+    route::{self, Route},
     state::State,
 };
 use crate::{
-    job::{Answer, Digest, Id, Outcome, Submission},
-    owner::Claim,
+    job::{Answer, Id, Submission},
+    peer::Request,
 };
 
-/// Submits a job, or joins one with the same id, and waits for the answer.
-pub(super) async fn submit(
-    state: &Rc<State>,
-    id: Id,
-    submission: Submission,
-) -> Result<Rc<Answer>, Refusal> {
-    check(&submission)?;
-    if let Some(job) = state.jobs.find(&id) {
-        if job.digest != Digest::of(&submission) {
-            return Err(Refusal::Mismatch { id });
-        }
-        return Ok(job.answered().await);
-    }
-    if state.jobs.len() >= state.config.max_jobs {
-        return Err(Refusal::Full { id });
-    }
-    let view = state.env.config.view();
-    let job = Rc::new(Job::new(id, state.jobs.number(), submission, view));
-    state.jobs.insert(job.clone());
-    // A task of its own: the job goes on when the caller's connection ends.
-    drop(spawn(drive(state.clone(), job.clone())));
-    let answer = job.answered().await;
-    match state.jobs.find(&job.id) {
-        Some(_) => Ok(answer),
-        None => Err(Refusal::Mismatch { id: job.id.clone() }),
-    }
-}
+/// Time after the deadline for which the home's answer is waited for.
+const GRACE: Duration = Duration::from_millis(250);
 
-async fn drive(state: Rc<State>, job: Rc<Job>) {
-    match claim(&state, &job).await {
-        Right::Ours => queue(&state, &job),
-        Right::Elsewhere(outcome, detail) => {
-            job.set_cause(Cause {
-                detail,
-                retry_after_ms: None,
-            });
-            pump::answer(&state, &job, outcome);
-        }
-        Right::Mismatch => {
-            state.jobs.remove(&job);
-            job.finish(Outcome::NotRun);
-        }
-    }
-}
+/// Pause before a request is routed anew.
+const PAUSE: Duration = Duration::from_millis(50);
 
-/// Whether this instance may start a job.
-enum Right {
-    Ours,
-    Elsewhere(Outcome, String),
-    Mismatch,
+/// Way that a request has come.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Way {
+    /// Time that it has been on its way.
+    pub(super) waited: Duration,
+    /// Times that it may still be passed on.
+    pub(super) hops: u8,
 }
 
-async fn claim(state: &State, job: &Job) -> Right {
-    let unknown = |detail: &str| Right::Elsewhere(Outcome::Unknown, detail.to_owned());
-    let key = match &job.id {
-        Id::Ticket(ticket) if state.issued(ticket) => return Right::Ours,
-        Id::Ticket(_) => return unknown("the instance that issued the ticket is gone"),
-        Id::Key(key) => key,
-    };
-    match state.claims.claim(key, job.digest).await {
-        Ok(Claim::Granted) => Right::Ours,
-        Ok(Claim::Taken(_)) => unknown("the key was claimed by an instance that is gone"),
-        Ok(Claim::Mismatch) => Right::Mismatch,
-        Err(error) => {
-            // Nothing of the job ran, whatever became of the claim: this
-            // instance is the only one that could have started it.
-            let detail = format!("the key could not be claimed: {error}");
-            Right::Elsewhere(Outcome::NotRun, detail)
+impl Way {
+    /// Way of a request from a caller.
+    pub(super) fn first() -> Way {
+        Way {
+            waited: Duration::ZERO,
+            hops: route::MAX_HOPS,
         }
     }
 }
 
-fn queue(state: &Rc<State>, job: &Rc<Job>) {
-    let submission = &job.submission;
-    let task = |(index, it): (usize, &crate::job::Spec)| dispatch::Task {
-        index: index as u32,
-        kind: KindId(state.kinds.number(&it.kind)),
-        size: it.size,
-        declared: it.run_time_ms.map(Duration::from_millis),
-    };
-    let queued = dispatch::Job {
-        id: job.number,
-        team: TeamId(state.teams.number(&submission.team)),
-        deadline: job.submitted + Duration::from_millis(submission.deadline_ms),
-        tasks: submission.tasks.iter().enumerate().map(task).collect(),
-    };
-    let submitted = state.dispatcher.borrow_mut().submit(queued, clock::now());
-    match submitted {
-        Ok(()) => state.work.notify(),
-        Err(refusal) => {
-            refuse(job, refusal);
-            pump::answer(state, job, Outcome::NotRun);
+/// Submits a job at its home and waits for the answer; `None` when this
+/// instance is not the home and may not pass it on.
+pub(super) async fn submit(
+    state: &Rc<State>,
+    id: Id,
+    submission: Submission,
+    way: Way,
+) -> Result<Option<Rc<Answer>>, Refusal> {
+    check::check(&submission)?;
+    let arrived = clock::now();
+    let limit = Duration::from_millis(submission.deadline_ms).saturating_sub(way.waited);
+    let deadline = arrived + limit;
+    let mut lost = false;
+    loop {
+        // A job that is here stays here, whoever its home is by now.
+        if let Some(settled) = home::join(state, &id, &submission).await {
+            match settled {
+                Settled::Answer(answer) => return Ok(Some(answer)),
+                Settled::Refusal(refusal) => return Err(refusal),
+                Settled::Moved => {}
+            }
+        }
+        match route::route(state, &id) {
+            Route::Here => {
+                let waited = way.waited;
+                match home::submit(state, &id, &submission, arrived, waited).await {
+                    Settled::Answer(answer) => return Ok(Some(answer)),
+                    Settled::Refusal(refusal) => return Err(refusal),
+                    Settled::Moved => {}
+                }
+            }
+            Route::Gone => {
+                let detail = "the instance that issued the ticket is gone";
+                return Ok(Some(doubt::unknown(state, &id, Some(&submission), detail)));
+            }
+            Route::Peers(_) if way.hops == 0 => return Ok(None),
+            Route::Peers(peers) => {
+                let waited = way.waited + (clock::now() - arrived);
+                let request = Request::Submit {
+                    id: id.clone(),
+                    submission: submission.clone(),
+                    waited_ms: waited.as_millis() as u64,
+                    hops: way.hops - 1,
+                };
+                match forward::pass(state, &peers, &id, &request, deadline + GRACE).await {
+                    Passed::Answer(answer) => return Ok(Some(answer)),
+                    Passed::Refusal(refusal) => return Err(refusal),
+                    Passed::Lost => lost = true,
+                    Passed::Missing | Passed::NotHome => {}
+                }
+            }
+            Route::Wait => {}
         }
+        if clock::now() >= deadline {
+            return Ok(Some(too_late(state, &id, &submission, lost)));
+        }
+        changed(state, deadline).await;
     }
 }
 
-fn refuse(job: &Job, refusal: dispatch::Refusal) {
-    let detail = match refusal.reason {
-        Reason::TooLarge => "no target takes tasks of this size",
-        Reason::Deadline => "the deadline is below the least possible time",
-        Reason::Quota => "the team is over its quota",
-        Reason::Overload => "too much work waits already",
+fn too_late(state: &State, id: &Id, submission: &Submission, lost: bool) -> Rc<Answer> {
+    let detail = if lost {
+        "the home of the id did not answer before the deadline"
+    } else {
+        "the home of the id was not reached; this request started nothing"
     };
-    let retry_after_ms = refusal.retry_after.map(|it| it.as_millis() as u64);
-    job.set_cause(Cause {
-        detail: detail.to_owned(),
-        retry_after_ms,
-    });
-    for index in 0..job.submission.tasks.len() {
-        job.ended(index as u32, Ending::not_run());
-    }
+    doubt::unknown(state, id, Some(submission), detail)
 }
 
-fn check(submission: &Submission) -> Result<(), Refusal> {
-    let invalid = |field: String, found: String, allowed: &str| Refusal::Invalid {
-        field,
-        found,
-        allowed: allowed.to_owned(),
-    };
-    let tasks = submission.tasks.len();
-    if tasks == 0 || tasks > Submission::MAX_TASKS {
-        return Err(invalid(
-            "tasks".to_owned(),
-            format!("{tasks} tasks"),
-            "1 to 190 tasks",
-        ));
-    }
-    if submission.deadline_ms == 0 {
-        return Err(invalid(
-            "deadline_ms".to_owned(),
-            "0".to_owned(),
-            "1 or more",
-        ));
-    }
-    for (index, task) in submission.tasks.iter().enumerate() {
-        if task.size == 0 {
-            let field = format!("tasks[{index}].size");
-            return Err(invalid(field, "0".to_owned(), "1 or more"));
-        }
+/// Waits for a change of homes, a little while, or the deadline.
+pub(super) async fn changed(state: &State, deadline: Instant) {
+    let changed = std::pin::pin!(state.claims.changed().notified());
+    let pause = clock::sleep_until(deadline.min(clock::now() + PAUSE));
+    match select(changed, pause).await {
+        Either::Left(_) | Either::Right(_) => {}
     }
-    Ok(())
 }
--- /dev/null
+++ b/crates/bluebellpath/src/entry/taken.rs
@@ -0,0 +1,98 @@
+//! Jobs under keys that were claimed before.
+
+use std::{rc::Rc, time::Duration};
+
+use bluebellpath_runtime::clock;
+
+use super::{
+    Refusal, doubt,
+    forward::{self, Passed},
+    route,
+    state::State,
+};
+use crate::{
+    job::{Answer, Digest, Id, Outcome, Submission},
+    owner::Claimed,
+    peer::Request,
+};
+
+/// Longest wait for the answer of the instance that claimed a key.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Answers a submission of a key that was claimed before.
+pub(super) async fn submitted(
+    state: &State,
+    id: &Id,
+    submission: &Submission,
+    claimed: &Claimed,
+) -> Result<Rc<Answer>, Refusal> {
+    if claimed.digest != Digest::of(submission) {
+        return Err(Refusal::Mismatch { id: id.clone() });
+    }
+    let request = Request::Submit {
+        id: id.clone(),
+        submission: submission.clone(),
+        waited_ms: 0,
+        hops: 0,
+    };
+    let wait = Duration::from_millis(submission.deadline_ms).min(PATIENCE);
+    Ok(match ask(state, id, claimed, &request, wait).await {
+        Some(answer) => answer,
+        None => recorded(state, id, Some(submission), claimed),
+    })
+}
+
+/// Answers a question for a key that was claimed.
+pub(super) async fn fetched(state: &State, id: &Id, claimed: &Claimed) -> Rc<Answer> {
+    let request = Request::Fetch {
+        id: id.clone(),
+        hops: 0,
+    };
+    match ask(state, id, claimed, &request, PATIENCE).await {
+        Some(answer) => answer,
+        None => recorded(state, id, None, claimed),
+    }
+}
+
+/// Asks the instance that claimed the key, which may have handed the shard over
+/// and still have the job.
+async fn ask(
+    state: &State,
+    id: &Id,
+    claimed: &Claimed,
+    request: &Request,
+    wait: Duration,
+) -> Option<Rc<Answer>> {
+    if claimed.incarnation == state.config.incarnation {
+        return None;
+    }
+    let address = route::peer(state, claimed.incarnation)?;
+    let deadline = clock::now() + wait;
+    match forward::pass(state, &[address], id, request, deadline).await {
+        Passed::Answer(answer) => Some(answer),
+        _ => None,
+    }
+}
+
+/// What the claim says of the job's end.
+fn recorded(
+    state: &State,
+    id: &Id,
+    submission: Option<&Submission>,
+    claimed: &Claimed,
+) -> Rc<Answer> {
+    let (outcome, detail) = match claimed.outcome {
+        Some(Outcome::NotRun) => (Outcome::NotRun, "cancelled before anything ran"),
+        Some(Outcome::Complete) => (
+            Outcome::Unknown,
+            "recorded as complete; the results are no longer kept",
+        ),
+        Some(Outcome::Failed) => (
+            Outcome::Unknown,
+            "recorded as failed; what ran is no longer known",
+        ),
+        Some(Outcome::Unknown) => (Outcome::Unknown, "recorded as unknown"),
+        None => (Outcome::Unknown, "claimed before; its end was not recorded"),
+    };
+    doubt::answer(state, id, submission, outcome, detail)
+}
--- a/crates/bluebellpath/src/owner/claim.rs
+++ b/crates/bluebellpath/src/owner/claim.rs
@@ -1,67 +1,53 @@
 //! Claims of callers' own keys.
 
-use std::rc::Rc;
-
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    job::{Digest, Incarnation, Key},
-    platform::{Commit, Error, Expect, Table, Write},
+    job::{Digest, Incarnation, Key, Outcome},
+    settings::Domain,
 };
 
 /// Row that stands for a claimed key.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-struct Claimed {
-    incarnation: Incarnation,
-    digest: Digest,
+pub struct Claimed {
+    /// Incarnation that alone may start the job.
+    pub incarnation: Incarnation,
+    /// Job that was claimed.
+    pub digest: Digest,
+    /// Wall time of the claim, in milliseconds since the epoch.
+    pub claimed_ms: u64,
+    /// What became of the job, once that is known.
+    pub outcome: Option<Outcome>,
 }
 
 /// Result of a claim.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Claim {
     /// The key is this incarnation's; nobody else will ever start the job.
-    Granted,
-    /// The key was claimed before, for the same job.
-    Taken(Incarnation),
-    /// The key was claimed before, for a job with other content.
-    Mismatch,
+    Granted(Grant),
+    /// The key was claimed before.
+    Taken(Claimed),
+    /// Another instance holds the shard of the key now.
+    Moved,
+    /// Too many claims wait already; nothing was written.
+    Busy,
 }
 
-/// Claims of one incarnation.
-pub struct Claims {
-    table: Rc<dyn Table>,
-    incarnation: Incarnation,
+/// Row of a claim that was granted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// Version of the row.
+    pub version: u64,
+    /// Wall time of the claim, in milliseconds since the epoch.
+    pub claimed_ms: u64,
 }
 
-impl Claims {
-    /// Claims in `table` on behalf of `incarnation`.
-    pub fn new(table: Rc<dyn Table>, incarnation: Incarnation) -> Claims {
-        Claims { table, incarnation }
-    }
+/// Prefix of the claims of a shard.
+pub(super) fn prefix(domain: Domain, shard: u16) -> String {
+    format!("claim/{domain}/{shard:04}/")
+}
 
-    /// Claims `key` for the job with `digest`.
-    pub async fn claim(&self, key: &Key, digest: Digest) -> Result<Claim, Error> {
-        let claimed = Claimed {
-            incarnation: self.incarnation,
-            digest,
-        };
-        let value = postcard::to_stdvec(&claimed).unwrap_or_default();
-        let write = Write {
-            key: format!("claim/{key}"),
-            expect: Expect::Absent,
-            value: Some(value),
-        };
-        match self.table.commit(&[write]).await? {
-            Commit::Done(_) => Ok(Claim::Granted),
-            Commit::Conflict(conflicts) => {
-                let row = conflicts.first().and_then(|it| it.row.as_ref());
-                let held = row.and_then(|it| postcard::from_bytes::<Claimed>(&it.value).ok());
-                Ok(match held {
-                    Some(held) if held.digest != digest => Claim::Mismatch,
-                    Some(held) => Claim::Taken(held.incarnation),
-                    None => Claim::Mismatch,
-                })
-            }
-        }
-    }
+/// Row key of a claim.
+pub(super) fn row_key(domain: Domain, shard: u16, key: &Key) -> String {
+    format!("{}{key}", prefix(domain, shard))
 }
--- a/crates/bluebellpath/src/peer/message.rs
+++ b/crates/bluebellpath/src/peer/message.rs
@@ -13,16 +13,24 @@
         id: Id,
         /// Job.
         submission: Submission,
+        /// Time for which the request has been on its way, in milliseconds.
+        waited_ms: u64,
+        /// Times that it may be passed on.
+        hops: u8,
     },
     /// Wait for the answer to a job.
     Fetch {
         /// Job id.
         id: Id,
+        /// Times that it may be passed on.
+        hops: u8,
     },
     /// Cancel a job.
     Cancel {
         /// Job id.
         id: Id,
+        /// Times that it may be passed on.
+        hops: u8,
     },
 }
 
@@ -35,6 +43,8 @@
     Missing,
     /// The id belongs to a job with other content.
     Mismatch,
+    /// The home of the id keeps too many jobs already.
+    Full,
     /// This instance does not own the id.
     NotOwner,
 }
--- a/crates/sessions/src/case.rs
+++ b/crates/sessions/src/case.rs
@@ -65,6 +65,12 @@
         self.first == Some(fault) || self.second == Some(fault)
     }
 
+    /// True when answers are kept so short a time that resubmissions come after
+    /// it: in every second round of the table.
+    pub fn forgets(&self) -> bool {
+        (self.seed / Case::TABLE) % 2 == 1
+    }
+
     /// Faults of the session.
     pub fn faults(&self) -> impl Iterator<Item = Fault> {
         [self.first, self.second].into_iter().flatten()
--- a/crates/sessions/src/history.rs
+++ b/crates/sessions/src/history.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeSet,
     rc::Rc,
 };
 
@@ -50,7 +51,8 @@
     pub submission: Rc<Submission>,
     /// Member that was asked.
     pub member: usize,
-    /// True when the member was the one that issued the job's ticket.
+    /// True when the member was the one that issued the job's ticket, and took
+    /// the request in at once.
     pub at_issuer: bool,
     /// When it was asked.
     pub sent: Instant,
@@ -84,6 +86,7 @@
 pub struct History {
     seen: RefCell<Vec<Seen>>,
     order: Cell<u64>,
+    paused: RefCell<BTreeSet<usize>>,
 }
 
 impl History {
@@ -119,6 +122,21 @@
         seen.got = got;
     }
 
+    /// Notes that a member is paused, or is so no more.
+    pub fn set_paused(&self, member: usize, paused: bool) {
+        let mut members = self.paused.borrow_mut();
+        if paused {
+            members.insert(member);
+        } else {
+            members.remove(&member);
+        }
+    }
+
+    /// True while a member is paused, and so takes nothing in.
+    pub fn is_paused(&self, member: usize) -> bool {
+        self.paused.borrow().contains(&member)
+    }
+
     /// Requests that nothing came back to yet.
     pub fn outstanding(&self) -> usize {
         let seen = self.seen.borrow();
--- a/crates/sessions/src/lib.rs
+++ b/crates/sessions/src/lib.rs
@@ -20,9 +20,11 @@
 pub mod session;
 mod strike;
 mod submitter;
+mod sweep;
 
 pub use case::Case;
 pub use fault::Fault;
 pub use history::{Ask, Got, History, Seen};
 pub use plan::{Plan, Planned, Try, Way};
-pub use report::Report;
+pub use report::{Outcomes, Report};
+pub use sweep::Sweep;
--- a/crates/sessions/src/session.rs
+++ b/crates/sessions/src/session.rs
@@ -2,11 +2,12 @@
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
+use bluebellpath::entry::Planted;
 use bluebellpath_runtime::{clock, runtime, spawn};
 use bluebellpath_standin::{Fleet, Layout};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
-use crate::{Case, History, Plan, Report, check, strike::Strike, submitter::Submitter};
+use crate::{Case, History, Outcomes, Plan, Report, check, strike::Strike, submitter::Submitter};
 
 /// Time in which all requests of a plan have been made.
 const ASKED: Duration = Duration::from_secs(17);
@@ -20,6 +21,13 @@
 /// Longest delay that a message gets on top of its way.
 const JITTER: Duration = Duration::from_millis(3);
 
+/// Time that a connection to a target takes, long enough for instances to be
+/// paused with a start in hand.
+const CONNECT: Duration = Duration::from_millis(15);
+
+/// Retention of answers in sessions that ask for what was forgotten.
+const SHORT_RETENTION: Duration = Duration::from_secs(1);
+
 /// Sizes of the fleet.
 fn layout() -> Layout {
     Layout {
@@ -33,12 +41,24 @@
 
 /// Plays `case` on a fleet of two domains and checks what came of it.
 pub fn run(case: Case) -> Report {
-    runtime::paused(play(case))
+    run_planted(case, None)
+}
+
+/// Plays `case` with a fault planted in every entry instance.
+pub fn run_planted(case: Case, planted: Option<Planted>) -> Report {
+    runtime::paused(play(case, planted))
 }
 
-async fn play(case: Case) -> Report {
+async fn play(case: Case, planted: Option<Planted>) -> Report {
     let mut rng = StdRng::seed_from_u64(case.seed);
-    let fleet = Rc::new(Fleet::start(layout()));
+    let fleet = Fleet::start_with(layout(), move |config| {
+        config.planted = planted;
+        if case.forgets() {
+            config.retention = SHORT_RETENTION;
+        }
+    });
+    let fleet = Rc::new(fleet);
+    fleet.targets.set_connect(CONNECT);
     fleet.network.set_jitter(JITTER, rng.random());
     let history = Rc::new(History::default());
     let began = clock::now();
@@ -65,6 +85,7 @@
         case,
         violations: check::all(&case, &seen, &runs),
         struck: struck.into_iter().map(|(it, n)| (it, n.get())).collect(),
+        outcomes: Outcomes::of(&seen),
         requests: seen.len(),
         starts: runs.len(),
     }
--- a/crates/sessions/src/strike.rs
+++ b/crates/sessions/src/strike.rs
@@ -108,8 +108,10 @@
         let member = self.member();
         let scope = self.fleet.members[member].scope();
         scope.freeze();
+        self.history.set_paused(member, true);
         clock::sleep(length).await;
         scope.thaw();
+        self.history.set_paused(member, false);
     }
 
     async fn roll(&mut self) {
--- a/crates/sessions/src/submitter.rs
+++ b/crates/sessions/src/submitter.rs
@@ -56,7 +56,7 @@
         let ask = if it.altered { Ask::Alter } else { ask };
         let submission = Rc::new(self.content(it.altered));
         let number = self.history.sent(ask, &id, &submission, it.member);
-        if self.at_issuer(it.member) {
+        if self.at_issuer(it.member) && !self.history.is_paused(it.member) {
             self.history.at_issuer(number);
         }
         let member = &self.fleet.members[it.member];
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -103,12 +103,19 @@
     /// Entry instances, domain by domain.
     pub members: Vec<Member>,
     layout: Layout,
+    configure: Box<dyn Fn(&mut Config)>,
     starts: Cell<u32>,
 }
 
 impl Fleet {
     /// Starts all entry instances of `layout`.
     pub fn start(layout: Layout) -> Fleet {
+        Fleet::start_with(layout, |_| {})
+    }
+
+    /// Starts all entry instances of `layout`, each with a configuration that
+    /// `configure` has changed.
+    pub fn start_with(layout: Layout, configure: impl Fn(&mut Config) + 'static) -> Fleet {
         let mut instances = Vec::new();
         for domain in 0..layout.domains {
             let entries = (0..layout.entries).map(|it| entry(domain, it));
@@ -123,6 +130,7 @@
             network: Network::new(layout.one_way),
             members: Vec::new(),
             layout,
+            configure: Box::new(configure),
             starts: Cell::new(0),
         };
         for instance in instances.iter().filter(|it| it.role == Role::Entry) {
@@ -196,11 +204,12 @@
             log: log::discard(),
         };
         let incarnation = Incarnation::new(clock::wall(), self.starts.get());
-        let config = Config {
+        let mut config = Config {
             domain: instance.domain,
             domains: self.layout.domains,
             ..Config::new(&instance.name, incarnation, instance.address)
         };
+        (self.configure)(&mut config);
         let entry = Entry::new(config, env);
         let started = entry.clone();
         drop(scope.spawn(async move { started.start() }));
--- a/crates/standin/src/targets.rs
+++ b/crates/standin/src/targets.rs
@@ -74,6 +74,7 @@
     runs: RefCell<Vec<Run>>,
     stops: RefCell<HashMap<String, Rc<Stop>>>,
     one_way: Cell<Duration>,
+    connect: Cell<Duration>,
     messages: Cell<u64>,
     log: RefCell<Option<File>>,
 }
@@ -103,6 +104,11 @@
         targets
     }
 
+    /// Sets the time that getting a connection takes.
+    pub fn set_connect(&self, connect: Duration) {
+        self.0.connect.set(connect);
+    }
+
     /// Changes how the target `name` behaves.
     pub fn set(&self, name: &str, behaviour: Behaviour) {
         self.0
@@ -273,6 +279,9 @@
                 let fault = Fault::NotStarted(Reason::Unreachable);
                 return Err(error(Step::Connect, fault, "connection refused"));
             }
+            if !self.0.connect.get().is_zero() {
+                clock::sleep(self.0.connect.get()).await;
+            }
             let lapsed = |_| error(Step::Fence, Fault::NotStarted(Reason::Lapsed), "lapsed");
             fence.check().map_err(lapsed)?;
             self.count();
