Pass the hops of a request in the peers' tests

Cause: the merged tests of the peers' link build requests without hops. Change: the tests name them; nothing else.

--- a/crates/bluebellpath/tests/peer_net.rs
+++ b/crates/bluebellpath/tests/peer_net.rs
@@ -27,7 +27,7 @@
 
 fn fetch(text: &str) -> Request {
     let id: Id = text.parse().expect("valid");
-    Request::Fetch { id }
+    Request::Fetch { id, hops: 0 }
 }
 
 /// Answers after the milliseconds in the id's text.
@@ -38,7 +38,7 @@
 
 impl Handler for Delays {
     fn handle(&self, request: Request) -> LocalFuture<'static, Reply> {
-        let Request::Fetch { id } = request else {
+        let Request::Fetch { id, .. } = request else {
             return Box::pin(async { Reply::NotOwner });
         };
         let text = id.to_string();
@@ -221,7 +221,13 @@
             counter: 1 << 60,
         };
         let id = Id::Ticket(ticket);
-        let reply = client.call(server.address(), Request::Fetch { id: id.clone() });
+        let reply = client.call(
+            server.address(),
+            Request::Fetch {
+                id: id.clone(),
+                hops: 0,
+            },
+        );
         assert_eq!(reply.await.expect("served"), Reply::Missing);
         assert_eq!(*handled.borrow(), [id.to_string()]);
     });
