Drain planned stops and answer every request, bad ones included

Cause: SIGTERM cut off what was running; a submission showed one fault at a time; chunked bodies were refused and an oversized body got its go-ahead first.

--- a/crates/bluebellpath/src/caller/service.rs
+++ b/crates/bluebellpath/src/caller/service.rs
@@ -1,20 +1,28 @@
 //! Callers' requests.
 
-use ::http::{HeaderName, Method, StatusCode};
-use bluebellpath_runtime::LocalFuture;
+use std::time::Duration;
+
+use ::http::{HeaderName, Method, StatusCode, header};
+use bluebellpath_runtime::{LocalFuture, clock};
 use serde::Serialize;
 
-use super::Problem;
+use super::{Fault, Problem, check};
 use crate::{
     entry::{Entry, Refusal},
-    http::{Fault, Request, Response, Service},
-    job::{Answer, Id, Outcome, Submission, Ticket},
+    http::{self, Request, Response, Service},
+    job::{Answer, Id, Outcome, Ticket},
     peer::Phase,
 };
 
 /// Header with the job id.
 const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
+/// Longest wait for an answer.
+const MAX_WAIT: Duration = Duration::from_secs(600);
+
+/// Time after which to ask again for an answer that is not there.
+const PENDING_RETRY: Duration = Duration::from_secs(1);
+
 /// Most tickets handed out at once.
 const MAX_TICKETS: usize = 1000;
 
@@ -39,24 +47,21 @@
         let path = request.path.clone();
         let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
         let routed = match (&request.method, parts.as_slice()) {
-            (&Method::GET, ["health", "live"]) => Ok(Response::new(StatusCode::NO_CONTENT)),
-            (&Method::GET, ["health", "ready"]) => self.ready(),
+            (&(Method::GET | Method::HEAD), ["health", "live"]) => {
+                Ok(Response::new(StatusCode::NO_CONTENT))
+            }
+            (&(Method::GET | Method::HEAD), ["health", "ready"]) => self.ready(),
             (&Method::POST, ["tickets"]) => self.tickets(&request),
             (&Method::POST, ["jobs"]) => self.submit(request).await,
-            (&Method::GET, ["jobs", id]) => self.fetch(id).await,
+            (&Method::GET, ["jobs", id]) => self.fetch(id, &request).await,
             (&Method::DELETE, ["jobs", id]) => self.cancel(id).await,
-            (_, ["tickets" | "jobs", ..]) => {
-                let detail = format!("{} is not allowed here", request.method);
-                Err(Problem::not_run(
-                    StatusCode::METHOD_NOT_ALLOWED,
-                    "method",
-                    detail,
-                ))
-            }
-            _ => {
-                let detail = format!("no resource at {path}");
-                Err(Problem::not_run(StatusCode::NOT_FOUND, "not-found", detail))
-            }
+            (method, parts) => match allowed(parts) {
+                Some(allowed) => return wrong_method(method, allowed),
+                None => {
+                    let detail = format!("no resource at {path}");
+                    Err(Problem::not_run(StatusCode::NOT_FOUND, "not-found", detail))
+                }
+            },
         };
         routed.unwrap_or_else(|problem| problem.response())
     }
@@ -91,23 +96,21 @@
             Some(text) => id(text)?,
             None => Ticket::into(self.entry.ticket()),
         };
-        let submission: Submission = serde_json::from_slice(&request.body).map_err(|error| {
-            let detail = format!("submission: {error}");
-            Problem::not_run(StatusCode::BAD_REQUEST, "invalid", detail)
-        })?;
+        let submission = check::parse(&request.body).map_err(invalid)?;
         // The body would else be held until the answer is there.
         drop(request);
         let answer = self.entry.submit(id, submission).await.map_err(refused)?;
         Ok(answered(&answer))
     }
 
-    async fn fetch(&self, text: &str) -> Result<Response, Box<Problem>> {
-        let answer = self
-            .entry
-            .fetch(&id(text)?)
-            .await
-            .ok_or_else(|| missing(text))?;
-        Ok(answered(&answer))
+    async fn fetch(&self, text: &str, request: &Request) -> Result<Response, Box<Problem>> {
+        let id = id(text)?;
+        let wait = wait(request)?;
+        let answer = clock::timeout(wait, self.entry.fetch(&id)).await;
+        match answer {
+            Some(answer) => answer.map(|it| answered(&it)).ok_or_else(|| missing(text)),
+            None => Err(pending(text)),
+        }
     }
 
     async fn cancel(&self, text: &str) -> Result<Response, Box<Problem>> {
@@ -125,7 +128,7 @@
         Box::pin(self.clone().route(request))
     }
 
-    fn malformed(&self, status: StatusCode, fault: Fault) -> Response {
+    fn malformed(&self, status: StatusCode, fault: http::Fault) -> Response {
         Problem::not_run(status, "malformed", fault.to_string()).response()
     }
 }
@@ -136,6 +139,52 @@
     })
 }
 
+/// Longest wait that the request asks for.
+fn wait(request: &Request) -> Result<Duration, Box<Problem>> {
+    match request.parameter("wait_ms").map(str::parse) {
+        None => Ok(MAX_WAIT),
+        Some(Ok(ms)) if Duration::from_millis(ms) <= MAX_WAIT => Ok(Duration::from_millis(ms)),
+        Some(_) => {
+            let detail = format!("wait_ms: allowed 0 to {}", MAX_WAIT.as_millis());
+            Err(Problem::not_run(StatusCode::BAD_REQUEST, "invalid", detail))
+        }
+    }
+}
+
+/// Methods of the resource at `path`.
+fn allowed(path: &[&str]) -> Option<&'static str> {
+    match path {
+        ["tickets"] | ["jobs"] => Some("POST"),
+        ["jobs", _] => Some("GET, DELETE"),
+        ["health", "live" | "ready"] => Some("GET, HEAD"),
+        _ => None,
+    }
+}
+
+fn wrong_method(method: &Method, allowed: &str) -> Response {
+    let detail = format!("{method} is not allowed here, only {allowed}");
+    Problem::not_run(StatusCode::METHOD_NOT_ALLOWED, "method", detail)
+        .response()
+        .with_header(header::ALLOW, allowed)
+}
+
+fn invalid(faults: Vec<Fault>) -> Box<Problem> {
+    let detail = format!("{} faults in the submission", faults.len());
+    let mut problem = Problem::not_run(StatusCode::BAD_REQUEST, "invalid", detail);
+    problem.faults = faults;
+    problem
+}
+
+fn pending(text: &str) -> Box<Problem> {
+    let detail = format!("job {text} has no answer yet");
+    let mut problem = Problem::not_run(StatusCode::ACCEPTED, "pending", detail);
+    // It may or may not have run so far.
+    problem.outcome = Outcome::Unknown;
+    problem.job = Some(text.to_owned());
+    problem.retry_after_ms = Some(PENDING_RETRY.as_millis() as u64);
+    problem
+}
+
 fn answered(answer: &Answer) -> Response {
     match answer.outcome {
         Outcome::Complete => Response::json(StatusCode::OK, answer),
--- a/crates/bluebellpath/src/entry/lifecycle.rs
+++ b/crates/bluebellpath/src/entry/lifecycle.rs
@@ -41,6 +41,7 @@
 
     /// Hands over what outlives this instance, at the end of a planned stop.
     pub async fn release(&self) {
+        self.release_ownership().await;
         self.0.membership.leave(self.0.as_ref());
     }
 
--- a/crates/bluebellpath/src/http/client.rs
+++ b/crates/bluebellpath/src/http/client.rs
@@ -27,7 +27,11 @@
 };
 use monoio_http::h1::codec::encoder::GenericEncoder;
 
-use super::{Error, Fault, Limits, Request, Response, Step, reader::Reader, server::payload};
+use super::{
+    Error, Fault, Limits, Request, Response, Step,
+    reader::{Reader, declared},
+    server::payload,
+};
 use crate::target::{Fence, Open};
 
 /// Limits and timeouts of a [`Client`].
@@ -291,7 +295,9 @@
             .map_err(failed(Step::Send, true))?;
         let head = self.reader.response_head(&self.limits, timeout).await;
         let head = head.map_err(failed(Step::Receive, true))?;
-        let body = self.reader.body(&head.headers, &self.limits).await;
+        let length = declared(&head.headers, &self.limits);
+        let length = length.map_err(failed(Step::Receive, true))?;
+        let body = self.reader.body(length, &self.limits).await;
         let body = body.map_err(failed(Step::Receive, true))?;
         let close = head
             .headers
--- a/crates/bluebellpath/src/http/server.rs
+++ b/crates/bluebellpath/src/http/server.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
-use ::http::{HeaderMap, HeaderValue, StatusCode, Version, header};
+use ::http::{HeaderMap, HeaderValue, Method, StatusCode, Version, header};
 use bluebellpath_runtime::{LocalFuture, Notify, clock, spawn};
 use futures_util::future::{Either, select};
 use monoio::{
@@ -14,7 +14,10 @@
     payload::{FixedPayload, Payload},
 };
 
-use super::{Fault, Limits, Request, Response, reader::Reader};
+use super::{
+    Fault, Limits, Request, Response,
+    reader::{Reader, declared},
+};
 
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
@@ -171,7 +174,14 @@
         let received = receive(&mut reader, &mut write, &shared.limits).await;
         reader.release();
         let (response, keep) = match received {
-            Ok((request, keep)) => (shared.service.call(request).await, keep),
+            Ok((request, keep)) => {
+                let bodiless = request.method == Method::HEAD;
+                let mut response = shared.service.call(request).await;
+                if bodiless {
+                    response.body.clear();
+                }
+                (response, keep)
+            }
             Err(fault) => match status(fault) {
                 Some(status) => (shared.service.malformed(status, fault), false),
                 None => return,
@@ -247,11 +257,13 @@
     limits: &Limits,
 ) -> Result<(Request, bool), Fault> {
     let head = reader.request_head(limits).await?;
+    // Tested before the go-ahead, so that nobody sends a body in vain.
+    let length = declared(&head.headers, limits)?;
     if expects_continue(&head.headers) {
         let (result, _) = write.write_all(&b"HTTP/1.1 100 Continue\r\n\r\n"[..]).await;
         result.map_err(|_| Fault::Io)?;
     }
-    let body = reader.body(&head.headers, limits).await?;
+    let body = reader.body(length, limits).await?;
     let keep = keeps_alive(head.version, &head.headers);
     let request = Request {
         method: head.method,
@@ -285,7 +297,6 @@
         Fault::TimedOut => Some(StatusCode::REQUEST_TIMEOUT),
         Fault::HeadTooLarge => Some(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE),
         Fault::BodyTooLarge => Some(StatusCode::PAYLOAD_TOO_LARGE),
-        Fault::LengthRequired => Some(StatusCode::LENGTH_REQUIRED),
         Fault::Malformed => Some(StatusCode::BAD_REQUEST),
         Fault::Closed | Fault::Io | Fault::Connections | Fault::Lapsed => None,
     }
