--- a/crates/bluebellpath/src/entry/pump.rs
+++ b/crates/bluebellpath/src/entry/pump.rs
@@ -216,9 +216,12 @@
 
 /// Keeps the dispatcher's targets as the instance list has them.
 pub(super) async fn follow_targets(state: Rc<State>) {
+    let mut roll = platform::Roll::new(state.config.domain);
     loop {
-        match state.env.instances.instances().await {
-            Ok(instances) => {
+        match roll.refresh(state.env.instances.as_ref()).await {
+            Ok(false) => {}
+            Ok(true) => {
+                let instances = roll.instances();
                 state.membership.observe(&instances);
                 set_targets(&state, instances);
             }
--- a/crates/bluebellpath/src/peer/frame.rs
+++ b/crates/bluebellpath/src/peer/frame.rs
@@ -34,6 +34,9 @@
 /// Bytes before the payload: version and wall time.
 const HEAD_BYTES: usize = 9;
 
+/// Bytes of a frame around its payload.
+pub const OVERHEAD_BYTES: usize = HEAD_BYTES + TAG_BYTES;
+
 /// Why a frame was dropped.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Fault {
--- a/crates/bluebellpath/src/peer/gossip.rs
+++ b/crates/bluebellpath/src/peer/gossip.rs
@@ -2,9 +2,12 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Heartbeat, Identity, Phase};
+use super::{Heartbeat, Identity, Phase, frame};
 use crate::job::Incarnation;
 
+/// Most suspects in one heartbeat.
+const MAX_SUSPECTS: usize = 32;
+
 /// Content of one datagram.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Gossip {
@@ -18,6 +21,40 @@
     pub relays: Vec<Relay>,
 }
 
+impl Gossip {
+    /// Gossip without news; suspects that do not fit into a frame of `limit`
+    /// bytes are left out, the last ones first.
+    pub fn new(heartbeat: Heartbeat, probe: bool, limit: usize) -> Gossip {
+        let mut gossip = Gossip {
+            heartbeat,
+            probe,
+            news: Vec::new(),
+            relays: Vec::new(),
+        };
+        gossip.heartbeat.suspects.truncate(MAX_SUSPECTS);
+        while gossip.bytes() > limit && gossip.heartbeat.suspects.pop().is_some() {}
+        gossip
+    }
+
+    /// Adds `news`, which may go beyond `limit` but never fill a frame.
+    pub fn tell(&mut self, news: News, limit: usize) {
+        self.news.push(news);
+        if self.bytes() > limit.max(frame::MAX_BYTES / 2) {
+            self.news.pop();
+        }
+    }
+
+    /// Bytes left in a frame of `limit` bytes.
+    pub fn room(&self, limit: usize) -> usize {
+        limit.saturating_sub(self.bytes())
+    }
+
+    fn bytes(&self) -> usize {
+        let payload = postcard::to_stdvec(self);
+        payload.map_or(usize::MAX, |it| it.len() + frame::OVERHEAD_BYTES)
+    }
+}
+
 /// Peer that came, or changed its phase.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct News {
--- a/crates/bluebellpath/src/peer/key.rs
+++ b/crates/bluebellpath/src/peer/key.rs
@@ -14,8 +14,8 @@
 
 impl Key {
     /// Key made from `secret`.
-    pub fn new(secret: &str) -> Key {
-        Key(blake3::derive_key(CONTEXT, secret.as_bytes()))
+    pub fn new(secret: impl AsRef<[u8]>) -> Key {
+        Key(blake3::derive_key(CONTEXT, secret.as_ref()))
     }
 
     /// Key of one connection, made from what both sides chose at random.
--- a/crates/bluebellpath/src/peer/membership.rs
+++ b/crates/bluebellpath/src/peer/membership.rs
@@ -20,12 +20,11 @@
     time::Duration,
 };
 
-use bluebellpath_runtime::{Instant, Notify, clock, spawn};
+use bluebellpath_runtime::{Notify, clock, spawn};
 use rand::{SeedableRng, rngs::StdRng, seq::SliceRandom};
-use serde::{Deserialize, Serialize};
 
 use super::{
-    Datagram, Heartbeat, Key, Link, Phase, Source, Tally, frame,
+    Config, Datagram, Heartbeat, Identity, Link, Peer, Phase, Source, Tally, frame,
     gossip::{Gossip, News, Relay},
     herald::Herald,
     roster::{Change, Refusal, Roster},
@@ -37,71 +36,12 @@
     settings::Domain,
 };
 
-/// Bytes that UDP and IP add to a datagram.
-const HEADER_BYTES: usize = 28;
-
 /// Silent peers that are asked directly in one interval.
 const PROBES: usize = 2;
 
 /// Factor by which relays shorten the time until all have heard of an instance.
 const RELAY_GAIN: usize = 3;
 
-/// Timing and size of a [`Membership`].
-#[derive(Clone, Copy, Debug)]
-pub struct Config {
-    /// Time between two heartbeats.
-    pub interval: Duration,
-    /// Silence after which a peer is asked for a sign of life.
-    pub suspect: Duration,
-    /// Silence after which a peer counts as gone.
-    pub timeout: Duration,
-    /// Peers that are told in one interval.
-    pub fanout: usize,
-    /// Bytes sent in a second, headers included, while nobody comes or goes.
-    pub bytes_per_s: usize,
-    /// Key that all entry instances share.
-    pub key: Key,
-}
-
-impl Default for Config {
-    /// A heartbeat each 500 ms to 3 peers, within 1,200 bytes/s; silent after
-    /// 1.5 s, gone after 3 s; the key of an empty secret.
-    fn default() -> Config {
-        Config {
-            interval: Duration::from_millis(500),
-            suspect: Duration::from_millis(1_500),
-            timeout: Duration::from_secs(3),
-            fanout: 3,
-            bytes_per_s: 1_200,
-            key: Key::new(""),
-        }
-    }
-}
-
-/// Who an entry instance is.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Identity {
-    /// Name in the instance list.
-    pub name: String,
-    /// Run of the instance.
-    pub incarnation: Incarnation,
-    /// Failure domain.
-    pub domain: Domain,
-    /// Address for peers.
-    pub address: SocketAddr,
-}
-
-/// Another entry instance of the domain.
-#[derive(Clone, Debug)]
-pub struct Peer {
-    /// Who it is.
-    pub identity: Identity,
-    /// Its last heartbeat.
-    pub heartbeat: Rc<Heartbeat>,
-    /// Last sign of life, its own or as told by another peer.
-    pub heard: Instant,
-}
-
 /// Entry instances that are there.
 pub struct Membership {
     identity: Identity,
@@ -254,12 +194,7 @@
 
     /// Some of the silent peers, others each time.
     fn silent(&self) -> Vec<SocketAddr> {
-        let roster = self.roster.borrow();
-        let silent = roster.iter().filter_map(|it| match it {
-            Standing::Silent(it) => Some(it.identity.address),
-            Standing::Live(_) | Standing::Gone(_) => None,
-        });
-        let mut silent: Vec<SocketAddr> = silent.collect();
+        let mut silent = self.roster.borrow().silent();
         silent.shuffle(&mut *self.rng.borrow_mut());
         silent.truncate(PROBES);
         silent
@@ -270,58 +205,19 @@
         self.sequence.set(self.sequence.get() + 1);
         let mut heartbeat = Heartbeat::new(self.identity.clone(), self.sequence.get());
         source.fill(&mut heartbeat);
-        let mut gossip = Gossip {
-            heartbeat,
-            probe,
-            news: Vec::new(),
-            relays: Vec::new(),
-        };
-        let limit = self.frame_bytes(receivers);
-        while self.size(&gossip) > limit && gossip.heartbeat.suspects.pop().is_some() {}
-        let news = self.herald.borrow_mut().news();
-        for news in news {
-            gossip.news.push(news);
-            if self.size(&gossip) > limit.max(frame::MAX_BYTES / 2) {
-                gossip.news.pop();
-                break;
-            }
+        let limit = self.config.frame_bytes(receivers);
+        let mut gossip = Gossip::new(heartbeat, probe, limit);
+        for news in self.herald.borrow_mut().news() {
+            gossip.tell(news, limit);
         }
-        let room = limit.saturating_sub(self.size(&gossip));
-        gossip.relays = self.relays(room / Relay::BYTES);
+        gossip.relays = self.relays(gossip.room(limit) / Relay::BYTES);
         gossip
     }
 
-    fn frame_bytes(&self, receivers: usize) -> usize {
-        let interval_ms = self.config.interval.as_millis() as usize;
-        let bytes = self.config.bytes_per_s * interval_ms / 1_000 / receivers.max(1);
-        let bytes = bytes.saturating_sub(HEADER_BYTES);
-        bytes.min(frame::MAX_BYTES)
-    }
-
-    fn size(&self, gossip: &Gossip) -> usize {
-        let sealed = frame::seal(&self.config.key, 0, gossip);
-        sealed.map_or(usize::MAX, |it| it.len())
-    }
-
     /// Up to `count` peers that were heard of lately.
     fn relays(&self, count: usize) -> Vec<Relay> {
-        let now = clock::now();
-        let roster = self.roster.borrow();
-        let relay = |it: &Standing| match it {
-            Standing::Live(it) => {
-                let age_ms = now.saturating_since(it.heard).as_millis() as u64;
-                let age = u8::try_from(age_ms.div_ceil(Relay::UNIT_MS)).ok()?;
-                Some(Relay { tag: it.tag, age })
-            }
-            Standing::Silent(_) | Standing::Gone(_) => None,
-        };
-        let mut relays: Vec<Relay> = roster.iter().filter_map(relay).collect();
-        relays.shuffle(&mut *self.rng.borrow_mut());
-        // The fresher half of a sample: stale ages are news to nobody.
-        relays.truncate(count * 2);
-        relays.sort_by_key(|it| it.age);
-        relays.truncate(count);
-        relays
+        let mut rng = self.rng.borrow_mut();
+        self.roster.borrow().relays(count, clock::now(), &mut *rng)
     }
 
     fn send<'a>(&self, gossip: &Gossip, to: impl IntoIterator<Item = &'a SocketAddr>) {
--- a/crates/bluebellpath/src/peer/mod.rs
+++ b/crates/bluebellpath/src/peer/mod.rs
@@ -12,10 +12,12 @@
 the [`Tally`] and dropped.
 */
 
+mod config;
 pub mod frame;
 pub mod gossip;
 mod heartbeat;
 mod herald;
+mod identity;
 mod key;
 mod link;
 mod membership;
@@ -26,10 +28,12 @@
 pub mod standing;
 mod tally;
 
+pub use config::Config;
 pub use heartbeat::{Heartbeat, Load, Phase, Source, Suspect};
+pub use identity::{Identity, Peer};
 pub use key::{Key, TAG_BYTES};
 pub use link::{Datagram, Error, Fault, Handler, Link, Step};
-pub use membership::{Config, Identity, Membership, Peer};
+pub use membership::Membership;
 pub use message::{Reply, Request};
 pub use net::Net;
 pub use offline::Offline;
--- a/crates/bluebellpath/src/peer/roster.rs
+++ b/crates/bluebellpath/src/peer/roster.rs
@@ -4,6 +4,7 @@
 
 use bluebellpath_runtime::Instant;
 use derive_more::{Display, Error};
+use rand::{Rng, seq::SliceRandom};
 
 use super::{
     Heartbeat, Identity, Phase,
@@ -157,6 +158,34 @@
         changed
     }
 
+    /// Up to `count` peers that were heard of lately.
+    pub(super) fn relays(&self, count: usize, now: Instant, rng: &mut impl Rng) -> Vec<Relay> {
+        let relay = |it: &Standing| match it {
+            Standing::Live(it) => {
+                let age_ms = now.saturating_since(it.heard).as_millis() as u64;
+                let age = u8::try_from(age_ms.div_ceil(Relay::UNIT_MS)).ok()?;
+                Some(Relay { tag: it.tag, age })
+            }
+            Standing::Silent(_) | Standing::Gone(_) => None,
+        };
+        let mut relays: Vec<Relay> = self.peers.values().filter_map(relay).collect();
+        relays.shuffle(rng);
+        // The fresher half of a sample: stale ages are news to nobody.
+        relays.truncate(count * 2);
+        relays.sort_by_key(|it| it.age);
+        relays.truncate(count);
+        relays
+    }
+
+    /// Addresses of peers that say nothing.
+    pub(super) fn silent(&self) -> Vec<SocketAddr> {
+        let silent = self.peers.values().filter_map(|it| match it {
+            Standing::Silent(it) => Some(it.identity.address),
+            Standing::Live(_) | Standing::Gone(_) => None,
+        });
+        silent.collect()
+    }
+
     /// Peers in the order of their names.
     pub(super) fn iter(&self) -> impl Iterator<Item = &Standing> {
         self.peers.values()
--- a/crates/bluebellpath/src/platform/http.rs
+++ b/crates/bluebellpath/src/platform/http.rs
@@ -2,7 +2,7 @@
 The platform over HTTP with JSON.
 
 `POST /table/read`, `/table/scan` and `/table/commit`, `POST /list`, `PUT` and
-`GET /objects/NAME`, `GET /instances`. 503 is a refusal; any other status than
+`GET /objects/NAME`, `GET /instances`, `POST /instances/changes`. 503 is a refusal; any other status than
 200, or a broken connection after the request was sent, leaves a write's effect
 unknown.
 */
@@ -13,8 +13,13 @@
 use bluebellpath_runtime::LocalFuture;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use super::{Commit, Error, Fault, Instance, Item, List, Row, Step, Store, Table, Write};
-use crate::http::{Client, Request, Response};
+use super::{
+    Changes, Commit, Error, Fault, Instance, Item, List, Row, Step, Store, Table, Version, Write,
+};
+use crate::{
+    http::{Client, Request, Response},
+    settings::Domain,
+};
 
 /// Body of `POST /table/read`.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -41,6 +46,15 @@
     pub writes: Vec<Write>,
 }
 
+/// Body of `POST /instances/changes`.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct Since {
+    /// Domain that asks.
+    pub domain: Domain,
+    /// State that it knows.
+    pub since: Option<Version>,
+}
+
 /// Client of a platform that speaks HTTP.
 #[derive(Clone)]
 pub struct Http {
@@ -168,6 +182,18 @@
             self.parse(Step::Instances, &response)
         })
     }
+
+    fn changes(
+        &self,
+        domain: Domain,
+        since: Option<Version>,
+    ) -> LocalFuture<'_, Result<Changes, Error>> {
+        let body = Since { domain, since };
+        Box::pin(async move {
+            self.post(Step::Instances, "/instances/changes", &body)
+                .await
+        })
+    }
 }
 
 fn scan(prefix: &str, after: Option<&str>, limit: usize) -> Scan {
--- a/crates/bluebellpath/src/platform/mod.rs
+++ b/crates/bluebellpath/src/platform/mod.rs
@@ -14,9 +14,11 @@
 pub mod http;
 mod instance;
 mod object;
+mod roll;
 mod table;
 
 pub use error::{Error, Fault, Step};
-pub use instance::{Instance, List, Role, State};
+pub use instance::{Changes, Instance, List, Role, State, Version};
 pub use object::Store;
+pub use roll::Roll;
 pub use table::{Commit, Conflict, Expect, Item, Row, Table, Write};
--- /dev/null
+++ b/crates/bluebellpath/src/platform/roll.rs
@@ -0,0 +1,74 @@
+//! What one domain knows of the instance list.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use bluebellpath_runtime::{Instant, clock};
+
+use super::{Changes, Error, Instance, List, Version};
+use crate::settings::Domain;
+
+/// Time after which all is read again, so that no lost change lasts.
+const REFRESH: Duration = Duration::from_secs(3_600);
+
+/// What one domain knows of the instance list, kept up by changes alone.
+///
+/// At 436 targets of a domain the list is some 70 KB; read whole each second it
+/// would be the largest message by far, for a few dozen changes a day.
+pub struct Roll {
+    domain: Domain,
+    version: Option<Version>,
+    instances: BTreeMap<String, Instance>,
+    read: Instant,
+}
+
+impl Roll {
+    /// Empty roll of `domain`.
+    pub fn new(domain: Domain) -> Roll {
+        Roll {
+            domain,
+            version: None,
+            instances: BTreeMap::new(),
+            read: clock::now(),
+        }
+    }
+
+    /// Reads what changed; true when something did.
+    pub async fn refresh(&mut self, list: &dyn List) -> Result<bool, Error> {
+        let now = clock::now();
+        let since = self
+            .version
+            .filter(|_| now.saturating_since(self.read) < REFRESH);
+        let changes = list.changes(self.domain, since).await?;
+        if changes.whole {
+            self.read = now;
+        }
+        Ok(self.apply(changes))
+    }
+
+    /// Instances in the order of their names.
+    pub fn instances(&self) -> Vec<Instance> {
+        self.instances.values().cloned().collect()
+    }
+
+    fn apply(&mut self, changes: Changes) -> bool {
+        self.version = Some(changes.version);
+        if changes.whole {
+            let named = changes
+                .instances
+                .into_iter()
+                .map(|it| (it.name.clone(), it));
+            let instances = named.collect();
+            let changed = self.instances != instances;
+            self.instances = instances;
+            return changed;
+        }
+        let changed = !changes.instances.is_empty() || !changes.gone.is_empty();
+        for name in &changes.gone {
+            self.instances.remove(name);
+        }
+        for instance in changes.instances {
+            self.instances.insert(instance.name.clone(), instance);
+        }
+        changed
+    }
+}
--- a/crates/standin/src/gate.rs
+++ b/crates/standin/src/gate.rs
@@ -2,8 +2,12 @@
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
-use bluebellpath::platform::{
-    Commit, Error, Fault, Instance, Item, List, Row, Step, Store, Table, Write,
+use bluebellpath::{
+    platform::{
+        Changes, Commit, Error, Fault, Instance, Item, List, Row, Step, Store, Table, Version,
+        Write,
+    },
+    settings::Domain,
 };
 use bluebellpath_runtime::{LocalFuture, clock};
 
@@ -95,4 +99,12 @@
     fn instances(&self) -> LocalFuture<'_, Result<Vec<Instance>, Error>> {
         Box::pin(self.pass(Step::Instances, self.service.instances()))
     }
+
+    fn changes(
+        &self,
+        domain: Domain,
+        since: Option<Version>,
+    ) -> LocalFuture<'_, Result<Changes, Error>> {
+        Box::pin(self.pass(Step::Instances, self.service.changes(domain, since)))
+    }
 }
--- a/crates/standin/src/serve/platform.rs
+++ b/crates/standin/src/serve/platform.rs
@@ -55,6 +55,10 @@
                 ),
                 None => Response::new(StatusCode::BAD_REQUEST),
             },
+            (&Method::POST, "/instances/changes", _) => match parse::<wire::Since>(&request) {
+                Some(it) => json(self.instances.changes(it.domain, it.since).await),
+                None => Response::new(StatusCode::BAD_REQUEST),
+            },
             (&Method::GET, "/instances", _) => json(self.instances.instances().await),
             (&Method::PUT, _, Some(name)) => {
                 json(self.objects.put(name, request.body.to_vec()).await)
