Guard the platform with rates, retries, a circuit breaker and settled doubts

Cause: entries could flood the store together, gave up at the first lost answer, and could not tell a lost answer from a lost write. Change: platform::Guarded before table, objects and list; each instance takes its part of the fleet's rates; conditional transactions are repeated and the conflict says what became of the first attempt; doubt is never lost.

--- a/crates/bluebellpath/src/entry/config.rs
+++ b/crates/bluebellpath/src/entry/config.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use crate::{job::Incarnation, peer, settings::Domain};
+use crate::{job::Incarnation, peer, platform::guard, settings::Domain};
 
 /// Configuration of an entry instance.
 #[derive(Clone, Debug)]
@@ -15,6 +15,8 @@
     pub address: SocketAddr,
     /// Timing of heartbeats.
     pub membership: peer::Config,
+    /// Rates, retries and circuit breaking towards the platform.
+    pub platform: guard::Config,
     /// Failure domain.
     pub domain: Domain,
     /// Failure domains that are configured.
@@ -38,6 +40,7 @@
             incarnation,
             address,
             membership: peer::Config::default(),
+            platform: guard::Config::default(),
             domain: Domain::new(0),
             domains: 1,
             list_interval: Duration::from_secs(1),
--- a/crates/bluebellpath/src/entry/pump.rs
+++ b/crates/bluebellpath/src/entry/pump.rs
@@ -223,6 +223,8 @@
             Ok(true) => {
                 let instances = roll.instances();
                 state.membership.observe(&instances);
+                let entries = instances.iter().filter(|it| it.role == Role::Entry);
+                state.platform.share(entries.count());
                 set_targets(&state, instances);
             }
             Err(error) => warn!(state.env.log, "no instance list"; "error" => %error),
--- a/crates/bluebellpath/src/entry/state.rs
+++ b/crates/bluebellpath/src/entry/state.rs
@@ -14,7 +14,7 @@
     job::Ticket,
     owner::Claims,
     peer::{Heartbeat, Identity, Load, Membership, Phase, Source},
-    platform::Instance,
+    platform::{Guarded, Instance},
     record::Log,
 };
 
@@ -22,6 +22,7 @@
 pub(super) struct State {
     pub(super) config: Config,
     pub(super) env: Env,
+    pub(super) platform: Rc<Guarded>,
     pub(super) jobs: Jobs,
     pub(super) membership: Rc<Membership>,
     pub(super) claims: Claims,
@@ -44,6 +45,13 @@
             domain: config.domain,
             address: config.address,
         };
+        let platform = Rc::new(guarded(&config, &env));
+        let env = Env {
+            table: platform.clone(),
+            objects: platform.clone(),
+            instances: platform.clone(),
+            ..env
+        };
         let membership = Membership::new(identity, env.link.clone(), config.membership);
         State {
             membership: Rc::new(membership),
@@ -59,6 +67,7 @@
             tickets: Cell::new(0),
             config,
             env,
+            platform,
         }
     }
 
@@ -79,6 +88,12 @@
     }
 }
 
+fn guarded(config: &Config, env: &Env) -> Guarded {
+    let (table, objects) = (env.table.clone(), env.objects.clone());
+    let seed = config.incarnation.to_u64();
+    Guarded::new(table, objects, env.instances.clone(), config.platform, seed)
+}
+
 impl Source for State {
     fn fill(&self, heartbeat: &mut Heartbeat) {
         let dispatcher = self.dispatcher.borrow();
--- a/crates/bluebellpath/src/platform/mod.rs
+++ b/crates/bluebellpath/src/platform/mod.rs
@@ -11,6 +11,7 @@
 */
 
 mod error;
+pub mod guard;
 pub mod http;
 mod instance;
 mod object;
@@ -18,6 +19,7 @@
 mod table;
 
 pub use error::{Error, Fault, Step};
+pub use guard::Guarded;
 pub use instance::{Changes, Instance, List, Role, State, Version};
 pub use object::Store;
 pub use roll::Roll;
--- a/crates/bluebellpath/src/platform/table.rs
+++ b/crates/bluebellpath/src/platform/table.rs
@@ -77,6 +77,7 @@
         limit: usize,
     ) -> LocalFuture<'a, Result<Vec<Item>, Error>>;
 
-    /// Makes all of `writes` or none.
+    /// Makes all of `writes` or none; a conflict names every condition that
+    /// failed, with the row that stands there.
     fn commit<'a>(&'a self, writes: &'a [Write]) -> LocalFuture<'a, Result<Commit, Error>>;
 }
