--- a/crates/bluebellpath/src/entry/config.rs
+++ b/crates/bluebellpath/src/entry/config.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use super::Planted;
-use crate::{job::Incarnation, owner, peer, settings::Domain};
+use crate::{job::Incarnation, owner, peer, platform::guard, settings::Domain};
 
 /// Configuration of an entry instance.
 #[derive(Clone, Debug)]
@@ -16,6 +16,8 @@
     pub address: SocketAddr,
     /// Timing of heartbeats.
     pub membership: peer::Config,
+    /// Rates, retries and circuit breaking towards the platform.
+    pub platform: guard::Config,
     /// Failure domain.
     pub domain: Domain,
     /// Failure domains that are configured.
@@ -46,6 +48,7 @@
             incarnation,
             address,
             membership: peer::Config::default(),
+            platform: guard::Config::default(),
             domain: Domain::new(0),
             domains: 1,
             list_interval: Duration::from_secs(1),
