--- a/crates/bluebellpath/src/entry/state.rs
+++ b/crates/bluebellpath/src/entry/state.rs
@@ -13,7 +13,7 @@
 use crate::{
     owner::{Claims, Tickets},
     peer::{Heartbeat, Identity, Load, Membership, Phase, Source},
-    platform::Instance,
+    platform::{Guarded, Instance},
     record::Log,
 };
 
@@ -21,6 +21,7 @@
 pub(super) struct State {
     pub(super) config: Config,
     pub(super) env: Env,
+    pub(super) platform: Rc<Guarded>,
     pub(super) jobs: Jobs,
     pub(super) membership: Rc<Membership>,
     pub(super) order: Order,
@@ -47,6 +48,13 @@
             domain: config.domain,
             address: config.address,
         };
+        let platform = Rc::new(guarded(&config, &env));
+        let env = Env {
+            table: platform.clone(),
+            objects: platform.clone(),
+            instances: platform.clone(),
+            ..env
+        };
         let membership = Membership::new(identity, env.link.clone(), config.membership);
         let membership = Rc::new(membership);
         let table = env.table.clone();
@@ -69,6 +77,7 @@
             turns: Cell::new(0),
             config,
             env,
+            platform,
         }
     }
 
@@ -79,6 +88,12 @@
     }
 }
 
+fn guarded(config: &Config, env: &Env) -> Guarded {
+    let (table, objects) = (env.table.clone(), env.objects.clone());
+    let seed = config.incarnation.to_u64();
+    Guarded::new(table, objects, env.instances.clone(), config.platform, seed)
+}
+
 impl Source for State {
     fn fill(&self, heartbeat: &mut Heartbeat) {
         let dispatcher = self.dispatcher.borrow();
