--- a/crates/bluebellpath/src/entry/home.rs
+++ b/crates/bluebellpath/src/entry/home.rs
@@ -253,12 +253,19 @@
 }
 
 fn refuse(job: &Job, refusal: dispatch::Refusal) {
-    let detail = match refusal.reason {
-        Reason::TooLarge => "no target takes tasks of this size",
-        Reason::Deadline => "the deadline is below the least possible time",
-        Reason::Quota => "the team is over its quota",
-        Reason::Overload => "too much work waits already",
+    let (reason, detail) = match refusal.reason {
+        Reason::TooLarge => (
+            crate::job::Reason::TooLarge,
+            "no target takes tasks of this size",
+        ),
+        Reason::Deadline => (
+            crate::job::Reason::Deadline,
+            "the deadline is below the least possible time",
+        ),
+        Reason::Quota => (crate::job::Reason::Quota, "the team is over its quota"),
+        Reason::Overload => (crate::job::Reason::Overload, "too much work waits already"),
     };
+    job.set_reason(reason);
     let retry_after_ms = refusal.retry_after.map(|it| it.as_millis() as u64);
     job.set_cause(Cause {
         detail: detail.to_owned(),
--- a/crates/bluebellpath/src/entry/mod.rs
+++ b/crates/bluebellpath/src/entry/mod.rs
@@ -22,6 +22,7 @@
 mod home;
 mod job;
 mod jobs;
+mod lifecycle;
 mod names;
 mod order;
 mod planted;
@@ -35,6 +36,7 @@
 
 pub use config::Config;
 pub use env::Env;
+pub use lifecycle::Work;
 pub use planted::Planted;
 pub use refusal::Refusal;
 
--- a/crates/bluebellpath/tests/peer_daemon.rs
+++ b/crates/bluebellpath/tests/peer_daemon.rs
@@ -16,7 +16,7 @@
 fn the_key_is_read_and_never_shown() {
     let settings = Settings::parse(TEXT).expect("valid");
     let peers = settings.peers.as_ref().expect("given");
-    assert_eq!(peers.key, "a shared secret");
+    assert_eq!(peers.key.read().expect("inline"), "a shared secret");
     assert_eq!(peers.listen.port(), 7001);
     assert!(!format!("{settings:?}").contains("secret"));
 }
