Go on under callers' keys while the store can't be reached

Cause: with the store down, every job under a caller's own key was answered as unknown at its deadline. Change: a holder goes on while each other instance of its domain remembers its claims and promises not to take over; a successor that can't account for its predecessor's last stretch answers unknown for keys without a row; instances that know their peers share the shards out from the start. Conclusion: claims in memory are fenced by the promises, claims in the table by their rows.

--- a/crates/bluebellpath/src/entry/forward.rs
+++ b/crates/bluebellpath/src/entry/forward.rs
@@ -54,7 +54,8 @@
             Reply::Mismatch => Passed::Refusal(Refusal::Mismatch { id }),
             Reply::Full => Passed::Refusal(Refusal::Full { id }),
             Reply::Missing => Passed::Missing,
-            Reply::NotOwner => continue,
+            // A peer of another version may answer what was not asked.
+            Reply::NotOwner | Reply::Promise(_) | Reply::Account(_) => continue,
         };
     }
     Passed::NotHome
--- a/crates/bluebellpath/src/entry/home.rs
+++ b/crates/bluebellpath/src/entry/home.rs
@@ -205,6 +205,9 @@
             })
         }
         Some(Claim::Moved) => Right::Moved,
+        Some(Claim::Doubtful) => Right::Unknown(
+            "the key may have been used by an instance that is gone; this request started nothing",
+        ),
         Some(Claim::Busy) => {
             Right::Unknown("too many keys wait for the store; this request started nothing")
         }
--- a/crates/bluebellpath/src/entry/planted.rs
+++ b/crates/bluebellpath/src/entry/planted.rs
@@ -7,6 +7,8 @@
     SkipFence,
     /// Starts jobs under keys that were not claimed.
     ForgetClaim,
+    /// Promises not to take over and does.
+    ForgetPromise,
     /// Takes a used ticket for a fresh one.
     ForgetTicket,
     /// Says of tasks that may have started that they did not run.
--- a/crates/bluebellpath/src/entry/pump.rs
+++ b/crates/bluebellpath/src/entry/pump.rs
@@ -80,6 +80,7 @@
     let task = job.task(assignment.task);
     let fence = Rc::new(Right {
         job: job.clone(),
+        held_until: state.claims.held_until(),
         planted: state.config.planted,
     });
     let start = Start {
--- a/crates/bluebellpath/src/entry/serve.rs
+++ b/crates/bluebellpath/src/entry/serve.rs
@@ -37,6 +37,8 @@
                 }
                 Request::Fetch { id, hops } => asked(&state, Ask::Fetch, &id, hops).await,
                 Request::Cancel { id, hops } => asked(&state, Ask::Cancel, &id, hops).await,
+                Request::Hold(hold) => Reply::Promise(state.claims.promise(hold)),
+                Request::Account { holder } => Reply::Account(state.claims.account(holder)),
             }
         })
     }
--- a/crates/bluebellpath/src/entry/state.rs
+++ b/crates/bluebellpath/src/entry/state.rs
@@ -9,7 +9,7 @@
 use bluebellpath_dispatch::{Dispatcher, TargetId};
 use bluebellpath_runtime::Notify;
 
-use super::{Config, Env, jobs::Jobs, names::Names, order::Order};
+use super::{Config, Env, Planted, jobs::Jobs, names::Names, order::Order};
 use crate::{
     owner::{Claims, Tickets},
     peer::{Heartbeat, Identity, Load, Membership, Phase, Source},
@@ -48,8 +48,10 @@
         let membership = Membership::new(identity, env.link.clone(), config.membership);
         let membership = Rc::new(membership);
         let table = env.table.clone();
-        let claims = Claims::new(table, membership.clone(), config.domains, config.owner);
-        let window = config.owner.max_tickets;
+        let mut owner = config.owner;
+        owner.forget_promises |= config.planted == Some(Planted::ForgetPromise);
+        let claims = Claims::new(table, membership.clone(), config.domains, owner);
+        let window = owner.max_tickets;
         State {
             membership,
             jobs: Jobs::default(),
--- a/crates/bluebellpath/src/owner/claim.rs
+++ b/crates/bluebellpath/src/owner/claim.rs
@@ -31,6 +31,8 @@
     Moved,
     /// Too many claims wait already; nothing was written.
     Busy,
+    /// The key may have been used by an instance that nobody can account for.
+    Doubtful,
 }
 
 /// Row of a claim that was granted.
@@ -40,6 +42,8 @@
     pub version: u64,
     /// Wall time of the claim, in milliseconds since the epoch.
     pub claimed_ms: u64,
+    /// True while the claim stands in the memory of peers and not in the table.
+    pub in_memory: bool,
 }
 
 /// Prefix of the claims of a shard.
--- a/crates/bluebellpath/src/owner/claims.rs
+++ b/crates/bluebellpath/src/owner/claims.rs
@@ -1,16 +1,23 @@
 //! Claims of one incarnation.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::Duration,
+};
 
 use bluebellpath_runtime::{Instant, Notify, clock, spawn};
 use futures_channel::oneshot;
 use futures_util::future::join_all;
 
 use super::{
-    Claim, Claimed, Config, Holder, claim,
+    Account, Claim, Claimed, Config, Hold, Holder, Promise, account, claim,
     claim::Grant,
-    keeper,
-    pending::{Op, Queue},
+    hold, keeper,
+    known::Known,
+    pending::{Op, Queue, Waiter},
+    promise::Promises,
     shards::Shards,
     sweep, writer,
 };
@@ -35,6 +42,15 @@
     pub(super) began: Instant,
     pub(super) releasing: Cell<bool>,
     pub(super) transactions: Cell<u64>,
+    pub(super) known: Known,
+    pub(super) promises: Promises,
+    pub(super) hold: hold::State,
+    /// Shards that are being taken over, and whether nobody accounts for them.
+    pub(super) taking: RefCell<BTreeMap<u16, bool>>,
+    /// Shards of which a take-over may still take effect.
+    pub(super) unsure: RefCell<BTreeSet<u16>>,
+    /// Shards whose last holder nobody accounts for, and until when.
+    pub(super) doubtful: RefCell<BTreeMap<u16, Instant>>,
 }
 
 impl Claims {
@@ -60,6 +76,12 @@
             began: clock::now(),
             releasing: Cell::new(false),
             transactions: Cell::new(0),
+            known: Known::default(),
+            promises: Promises::new(config.forget_promises),
+            hold: hold::State::default(),
+            taking: RefCell::default(),
+            unsure: RefCell::default(),
+            doubtful: RefCell::default(),
         }
     }
 
@@ -97,20 +119,61 @@
         if self.queue.len() >= self.config.max_pending {
             return Claim::Busy;
         }
+        if let Some(claim) = self.remembered(key).await {
+            return claim;
+        }
         let (reply, claim) = oneshot::channel();
         let op = Op::Claim {
             key: key.clone(),
             digest,
-            reply,
+            reply: Waiter::new(reply),
         };
         self.queue.push(self.shard(key), op);
         claim.await.unwrap_or(Claim::Moved)
     }
 
+    /// What earlier holders left of the key, other than its row.
+    async fn remembered(&self, key: &Key) -> Option<Claim> {
+        if let Some(claimed) = self.promises.find(key) {
+            return Some(Claim::Taken(claimed));
+        }
+        if !self.is_doubtful(self.shard(key)) {
+            return None;
+        }
+        let row = self.read(key).await.ok().flatten();
+        Some(row.map_or(Claim::Doubtful, Claim::Taken))
+    }
+
+    /// True while keys of the shard may have been used without a trace.
+    pub(super) fn is_doubtful(&self, shard: u16) -> bool {
+        let doubtful = self.doubtful.borrow();
+        doubtful.get(&shard).is_some_and(|it| clock::now() < *it)
+    }
+
+    /// Time until which claims in memory may be acted on.
+    pub fn held_until(&self) -> Rc<Cell<Instant>> {
+        self.hold.until()
+    }
+
+    /// Answers a peer that can't reach the table and asks for a promise.
+    pub fn promise(&self, hold: Hold) -> Promise {
+        hold::promise(self, hold)
+    }
+
+    /// What this instance knows of the tenure of `holder`.
+    pub fn account(&self, holder: Incarnation) -> Account {
+        account::of(self, holder)
+    }
+
+    pub(super) fn know(&self, shard: u16, key: &Key) {
+        self.known.insert(shard, key, self.config.max_known);
+    }
+
     /// Records what became of a job that was claimed; without an outcome the
     /// key may be claimed anew.
     pub fn ended(&self, key: &Key, digest: Digest, grant: Grant, outcome: Option<Outcome>) {
-        if self.queue.len() >= self.config.max_pending {
+        // The row of a claim in memory is not there yet.
+        if grant.in_memory || self.queue.len() >= self.config.max_pending {
             return;
         }
         let op = Op::End {
--- a/crates/bluebellpath/src/owner/config.rs
+++ b/crates/bluebellpath/src/owner/config.rs
@@ -29,14 +29,26 @@
     pub retention: Duration,
     /// Time between two searches for claims past their retention.
     pub sweep: Duration,
+    /// Time after its start from which an instance is known to all its peers.
+    pub settle: Duration,
+    /// Time after a take-over that nobody can account for in which keys that
+    /// are not in the table are answered as unknown.
+    pub doubt: Duration,
+    /// Claimed keys that are known without the table.
+    pub max_known: usize,
+    /// Claims that are remembered for peers that go on without the table.
+    pub max_held: usize,
     /// Tickets that are told apart; older ones count as used.
     pub max_tickets: u64,
+    /// Plants a fault for a test of the checkers: promises are not kept.
+    pub forget_promises: bool,
 }
 
 impl Default for Config {
     /// 16 shards; leases of 3 s with a margin of 500 ms, renewed each second
-    /// and read each 500 ms; 300 transactions a second; claims kept for 1 h; a
-    /// million tickets.
+    /// and read each 500 ms; 300 transactions a second; claims kept for 1 h;
+    /// instances known after 6 s, 10 min of doubt; 500,000 known keys, 50,000
+    /// remembered claims, a million tickets.
     fn default() -> Config {
         Config {
             shards: 16,
@@ -51,7 +63,12 @@
             timeout: Duration::from_secs(3),
             retention: Duration::from_secs(3_600),
             sweep: Duration::from_secs(60),
+            settle: Duration::from_secs(6),
+            doubt: Duration::from_secs(600),
+            max_known: 500_000,
+            max_held: 50_000,
             max_tickets: 1_000_000,
+            forget_promises: false,
         }
     }
 }
--- a/crates/bluebellpath/src/owner/keeper.rs
+++ b/crates/bluebellpath/src/owner/keeper.rs
@@ -4,44 +4,68 @@
 
 use bluebellpath_runtime::clock;
 
-use super::{Claims, Holder, lease::Lease, pending::Op, shards::Shard};
+use super::{Claims, Holder, account, known, lease::Lease, pending::Op, shards::Shard};
 use crate::{
     peer::Phase,
-    platform::{Commit, Expect, Write},
+    platform::{Commit, Expect, Fault, Write},
 };
 
 /// Watches the lease rows for ever.
 pub(super) async fn run(claims: Rc<Claims>) {
     loop {
-        observe(&claims).await;
-        take_over(&claims).await;
+        // A table that can't be read is not written to either: a take-over with
+        // an open end would keep this instance from promising anything.
+        if observe(&claims).await {
+            take_over(&claims).await;
+        }
         rebalance(&claims);
         clock::sleep(claims.config.poll).await;
     }
 }
 
-async fn observe(claims: &Claims) {
+/// Reads the lease rows; false when that failed.
+async fn observe(claims: &Rc<Claims>) -> bool {
     let shards = 0..claims.config.shards;
     let keys: Vec<String> = shards.map(|it| Lease::row_key(claims.domain, it)).collect();
+    let sent = clock::now();
     let read = claims.table.read(&keys);
     let Some(Ok(rows)) = clock::timeout(claims.config.timeout, read).await else {
-        return;
+        return false;
     };
+    claims.hold.reached.set(Some(clock::now()));
     for (shard, row) in rows.iter().enumerate() {
         let shard = shard as u16;
         // What is held here, only the writer knows the version of.
         if claims.shards.get(shard).holder != Holder::Here {
-            claims.shards.observe(shard, row.as_ref());
+            let before = claims.shards.get(shard).version;
+            claims.shards.read(shard, row.as_ref(), sent);
+            if claims.shards.get(shard).version != before {
+                // A take-over from the earlier version can't take effect now.
+                claims.unsure.borrow_mut().remove(&shard);
+            }
         }
     }
+    let adopted = claims.shards.held();
+    let new: Vec<u16> = adopted
+        .into_iter()
+        .filter(|it| claims.taking.borrow().contains_key(it))
+        .collect();
+    taken(claims, &new);
+    true
 }
 
-async fn take_over(claims: &Claims) {
+async fn take_over(claims: &Rc<Claims>) {
     let shards = (0..claims.config.shards).filter(|it| is_due(claims, *it));
     let due: Vec<u16> = shards.collect();
     if due.is_empty() || claims.releasing.get() {
         return;
     }
+    account(claims, &due).await;
+    // Promises may have been given meanwhile, or time lost.
+    let due: Vec<u16> = due.into_iter().filter(|it| is_due(claims, *it)).collect();
+    if due.is_empty() || claims.releasing.get() {
+        return;
+    }
     let lease = Lease {
         holder: Some(claims.incarnation),
         writer: claims.incarnation,
@@ -49,25 +73,67 @@
     };
     let writes: Vec<Write> = due.iter().map(|it| write(claims, *it, &lease)).collect();
     claims.transactions.set(claims.transactions.get() + 1);
+    claims.unsure.borrow_mut().extend(&due);
     let commit = claims.table.commit(&writes);
     match clock::timeout(claims.config.timeout, commit).await {
         Some(Ok(Commit::Done(versions))) => {
             for (shard, version) in due.iter().zip(versions) {
+                claims.unsure.borrow_mut().remove(shard);
                 claims.shards.hold(*shard, version);
             }
+            taken(claims, &due);
         }
         Some(Ok(Commit::Conflict(conflicts))) => {
             for conflict in conflicts {
-                claims
-                    .shards
-                    .observe(due[conflict.index], conflict.row.as_ref());
+                let shard = due[conflict.index];
+                claims.unsure.borrow_mut().remove(&shard);
+                claims.shards.observe(shard, conflict.row.as_ref());
             }
         }
+        Some(Err(error)) if error.fault == Fault::Refused => {
+            let mut unsure = claims.unsure.borrow_mut();
+            unsure.retain(|it| !due.contains(it));
+        }
         // The next reading shows whether it took effect.
         Some(Err(_)) | None => {}
     }
 }
 
+/// Finds out which shards nobody accounts for, before they are taken over.
+async fn account(claims: &Claims, due: &[u16]) {
+    let followed = due
+        .iter()
+        .filter_map(|it| match claims.shards.get(*it).holder {
+            Holder::Other(holder) => Some((*it, holder)),
+            Holder::Here | Holder::Nobody => None,
+        });
+    let followed: Vec<_> = followed.collect();
+    let missing = account::missing(claims, &followed).await;
+    let mut taking = claims.taking.borrow_mut();
+    for shard in due {
+        taking.insert(*shard, missing.contains(shard));
+    }
+}
+
+/// Takes note of shards that were taken over.
+fn taken(claims: &Rc<Claims>, shards: &[u16]) {
+    if shards.is_empty() {
+        return;
+    }
+    for shard in shards {
+        let doubtful = claims.taking.borrow_mut().remove(shard);
+        let until = clock::now() + claims.config.doubt;
+        let mut all = claims.doubtful.borrow_mut();
+        match doubtful {
+            Some(true) => all.insert(*shard, until),
+            _ => all.remove(shard),
+        };
+        claims.known.forget(*shard);
+    }
+    account::enter(claims, shards);
+    known::load(claims, shards.to_vec());
+}
+
 fn write(claims: &Claims, shard: u16, lease: &Lease) -> Write {
     let version = claims.shards.get(shard).version;
     Write {
@@ -91,8 +157,15 @@
     };
     match shard.holder {
         Holder::Here => false,
-        Holder::Nobody => now >= shard.seen + patience,
-        Holder::Other(_) => now >= shard.seen + claims.config.lease + patience,
+        Holder::Nobody => {
+            let joined = claims.began + claims.config.join;
+            now >= shard.seen.max(joined) + patience
+        }
+        Holder::Other(holder) => {
+            let settled = claims.began + claims.config.settle;
+            let lapsed = shard.seen + claims.config.lease + patience;
+            now >= settled && now >= lapsed && !claims.promises.binds(holder)
+        }
     }
 }
 
--- a/crates/bluebellpath/src/owner/mod.rs
+++ b/crates/bluebellpath/src/owner/mod.rs
@@ -21,21 +21,34 @@
 lease row for the whole lease on its own monotonic clock. No wall clocks are
 compared: the assumption is only that monotonic clocks of two instances run
 apart by less than the margin within one lease.
+
+While the table can't be reached, a holder goes on only as long as every other
+instance of its domain remembers its claims and promises not to take over; the
+right to start under such a claim is tested against the monotonic clock at the
+last step. A successor that can't account for its predecessor's last stretch
+answers unknown for keys without a row.
 */
 
+mod account;
+mod batch;
 mod claim;
 mod claims;
 mod config;
+mod hold;
 mod keeper;
+mod known;
 pub mod lease;
 mod pending;
+mod promise;
 mod shards;
 mod sweep;
 mod tickets;
 mod writer;
 
+pub use account::Account;
 pub use claim::{Claim, Claimed, Grant};
 pub use claims::Claims;
 pub use config::Config;
+pub use promise::{Held, Hold, Holding, Promise};
 pub use shards::Holder;
 pub use tickets::{Tickets, Use};
--- a/crates/bluebellpath/src/owner/pending.rs
+++ b/crates/bluebellpath/src/owner/pending.rs
@@ -1,11 +1,14 @@
 //! Writes that wait for the next transaction.
 
-use std::{cell::RefCell, collections::VecDeque};
+use std::{
+    cell::{Cell, RefCell},
+    collections::VecDeque,
+};
 
 use bluebellpath_runtime::Notify;
 use futures_channel::oneshot;
 
-use super::Claim;
+use super::{Claim, Claimed};
 use crate::job::{Digest, Key, Outcome};
 
 /// What is to be written.
@@ -16,8 +19,15 @@
         key: Key,
         /// Job.
         digest: Digest,
-        /// Who waits for the result; one that is gone will not start the job.
-        reply: oneshot::Sender<Claim>,
+        /// Who waits for the result.
+        reply: Waiter,
+    },
+    /// Claim of a predecessor that stood in memory only.
+    Enter {
+        /// Key.
+        key: Key,
+        /// Its claim.
+        claimed: Claimed,
     },
     /// End of a job that was claimed; one that did not run is claimed no more.
     End {
@@ -39,6 +49,39 @@
     },
 }
 
+/// Who waits for the result of a claim.
+pub(super) struct Waiter(Cell<Option<oneshot::Sender<Claim>>>);
+
+impl Waiter {
+    pub(super) fn new(sender: oneshot::Sender<Claim>) -> Waiter {
+        Waiter(Cell::new(Some(sender)))
+    }
+
+    /// Sends the result; false when it had none yet and nobody waits any more,
+    /// so that the job will never start.
+    pub(super) fn send(&self, claim: Claim) -> bool {
+        let sender = self.0.take();
+        sender.is_none_or(|it| it.send(claim).is_ok())
+    }
+
+    /// True while somebody waits and has no result.
+    pub(super) fn is_waiting(&self) -> bool {
+        self.look(|it| it.is_some_and(|it| !it.is_canceled()))
+    }
+
+    /// True when nobody waits any more and there was no result.
+    fn is_abandoned(&self) -> bool {
+        self.look(|it| it.is_some_and(|it| it.is_canceled()))
+    }
+
+    fn look(&self, look: impl FnOnce(Option<&oneshot::Sender<Claim>>) -> bool) -> bool {
+        let sender = self.0.take();
+        let seen = look(sender.as_ref());
+        self.0.set(sender);
+        seen
+    }
+}
+
 /// Write with the shard that it depends on.
 pub(super) struct Pending {
     pub(super) shard: u16,
@@ -66,6 +109,18 @@
         self.len() == 0
     }
 
+    /// Takes up to `limit` claims and leaves the other writes.
+    pub(super) fn take_claims(&self, limit: usize) -> Vec<Pending> {
+        let is_claim = |it: &Pending| matches!(it.op, Op::Claim { .. });
+        let mut waiting = self.waiting.borrow_mut();
+        let (claims, rest): (VecDeque<_>, VecDeque<_>) = waiting.drain(..).partition(is_claim);
+        *waiting = rest;
+        let mut claims = claims.into_iter();
+        let taken: Vec<Pending> = claims.by_ref().take(limit).collect();
+        waiting.extend(claims);
+        taken
+    }
+
     /// Takes up to `limit` writes, those of claims that nobody waits for left
     /// out.
     pub(super) fn take(&self, limit: usize) -> Vec<Pending> {
@@ -84,7 +139,15 @@
 }
 
 impl Pending {
-    fn is_abandoned(&self) -> bool {
-        matches!(&self.op, Op::Claim { reply, .. } if reply.is_canceled())
+    /// Key whose row is written.
+    pub(super) fn key(&self) -> Option<&Key> {
+        match &self.op {
+            Op::Claim { key, .. } | Op::Enter { key, .. } | Op::End { key, .. } => Some(key),
+            Op::Release { .. } => None,
+        }
+    }
+
+    pub(super) fn is_abandoned(&self) -> bool {
+        matches!(&self.op, Op::Claim { reply, .. } if reply.is_abandoned())
     }
 }
--- a/crates/bluebellpath/src/owner/sweep.rs
+++ b/crates/bluebellpath/src/owner/sweep.rs
@@ -14,6 +14,9 @@
 pub(super) async fn run(claims: Rc<Claims>) {
     loop {
         clock::sleep(claims.config.sweep).await;
+        let retention_ms = claims.config.retention.as_millis() as u64;
+        let oldest = clock::wall().saturating_sub(retention_ms);
+        claims.promises.expire(oldest);
         for shard in claims.shards.held() {
             sweep(&claims, shard).await;
         }
--- a/crates/bluebellpath/src/owner/writer.rs
+++ b/crates/bluebellpath/src/owner/writer.rs
@@ -4,18 +4,23 @@
 //! depends on are known only then. While it is on its way, the claims of the
 //! next one gather, so a slow table means larger transactions, not more.
 
-use std::{collections::BTreeMap, rc::Rc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::Duration,
+};
 
 use bluebellpath_runtime::{Instant, clock};
 use futures_util::future::{Either, select};
 
 use super::{
-    Claim, Claimed, Claims, Holder,
-    claim::{self, Grant},
-    lease::Lease,
+    Claims, Holder,
+    batch::Batch,
+    claim::Grant,
+    hold,
     pending::{Op, Pending},
 };
-use crate::platform::{Commit, Conflict, Expect, Write};
+use crate::platform::{Commit, Conflict, Write};
 
 /// First pause before a transaction without a definite answer is sent again.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
@@ -23,16 +28,6 @@
 /// Longest such pause.
 const RETRY_PAUSE_MAX: Duration = Duration::from_secs(1);
 
-/// Transaction in the making.
-struct Batch {
-    operation: u64,
-    /// Lease rows that it rewrites, with the holder that they then name.
-    shards: Vec<u16>,
-    /// Writes of claims, in the order of the transaction's further rows.
-    pending: Vec<Pending>,
-    claimed_ms: u64,
-}
-
 /// Writes for ever.
 pub(super) async fn run(claims: Rc<Claims>) {
     let mut renewed = clock::now();
@@ -44,16 +39,43 @@
         if is_due {
             renewed = began;
         }
-        let pending = claims.queue.take(claims.config.max_batch);
+        let limit = claims.config.max_batch;
+        let mut pending = owed(&claims, limit);
+        pending.extend(claims.queue.take(limit - pending.len()));
+        let pending = first_of_each(&claims, pending);
         write(&claims, pending, is_due).await;
     }
 }
 
+/// Claims that stand in memory since an outage.
+fn owed(claims: &Claims, limit: usize) -> Vec<Pending> {
+    let mut owed = claims.hold.owed.borrow_mut();
+    owed.retain(|it| !it.is_abandoned());
+    let count = owed.len().min(limit);
+    owed.drain(..count).collect()
+}
+
+/// Leaves one write for each key and puts the others back: what a transaction
+/// does with two writes of one row is the table's affair.
+fn first_of_each(claims: &Claims, pending: Vec<Pending>) -> Vec<Pending> {
+    let mut keys = BTreeSet::new();
+    let mut firsts = Vec::new();
+    for pending in pending {
+        let is_first = pending.key().is_none_or(|it| keys.insert(it.clone()));
+        if is_first {
+            firsts.push(pending);
+        } else {
+            claims.queue.push(pending.shard, pending.op);
+        }
+    }
+    firsts
+}
+
 /// Waits for something to write, and for the gap after the last transaction.
 async fn wait(claims: &Claims, renewed: Instant, began: Instant) {
     loop {
         let arrived = claims.queue.arrived.notified();
-        if !claims.queue.is_empty() {
+        if !claims.queue.is_empty() || claims.hold.len() > 0 {
             return clock::sleep_until(began + claims.gap()).await;
         }
         let renewal = renewed + claims.config.renewal;
@@ -99,30 +121,51 @@
 fn still_held(claims: &Claims, pending: Vec<Pending>) -> Vec<Pending> {
     let is_held = |it: &Pending| claims.shards.get(it.shard).holder == Holder::Here;
     let (held, lost): (Vec<_>, Vec<_>) = pending.into_iter().partition(is_held);
+    for pending in &lost {
+        claims.known.forget(pending.shard);
+    }
     lost.into_iter().for_each(Pending::moved);
     held
 }
 
-/// Sends the transaction until the table gives a definite answer.
+/// Sends the transaction until the table gives a definite answer; goes on
+/// without the table meanwhile where the peers allow it.
 async fn commit(claims: &Claims, batch: &Batch) -> Commit {
     let writes = batch.writes(claims);
+    if let Some(commit) = attempt(claims, &writes).await {
+        return commit;
+    }
+    let again = std::pin::pin!(send_again(claims, &writes));
+    let hold = std::pin::pin!(hold::run(claims, &batch.pending));
+    match select(again, hold).await {
+        Either::Left((commit, _)) => commit,
+        Either::Right(((), again)) => again.await,
+    }
+}
+
+async fn send_again(claims: &Claims, writes: &[Write]) -> Commit {
     let mut pause = RETRY_PAUSE;
     loop {
-        claims.transactions.set(claims.transactions.get() + 1);
-        let commit = claims.table.commit(&writes);
-        if let Some(Ok(commit)) = clock::timeout(claims.config.timeout, commit).await {
-            return commit;
-        }
         clock::sleep(pause).await;
         pause = (pause * 2).min(RETRY_PAUSE_MAX);
+        if let Some(commit) = attempt(claims, writes).await {
+            return commit;
+        }
     }
 }
 
+async fn attempt(claims: &Claims, writes: &[Write]) -> Option<Commit> {
+    claims.transactions.set(claims.transactions.get() + 1);
+    let commit = claims.table.commit(writes);
+    clock::timeout(claims.config.timeout, commit).await?.ok()
+}
+
 fn done(claims: &Claims, batch: Batch, versions: &[u64]) {
     let (leases, rows) = versions.split_at(batch.shards.len().min(versions.len()));
     let released = batch.released();
     for (shard, version) in batch.shards.iter().zip(leases) {
         if released.contains(shard) {
+            claims.known.forget(*shard);
             claims.shards.released(*shard, *version);
         } else {
             claims.shards.hold(*shard, *version);
@@ -132,11 +175,12 @@
     for pending in batch.pending {
         let version = match pending.op {
             Op::Release { .. } => None,
-            Op::Claim { .. } | Op::End { .. } => rows.next().copied(),
+            Op::Claim { .. } | Op::Enter { .. } | Op::End { .. } => rows.next().copied(),
         };
         let grant = Grant {
             version: version.unwrap_or_default(),
             claimed_ms: batch.claimed_ms,
+            in_memory: false,
         };
         pending.granted(claims, grant);
     }
@@ -199,122 +243,3 @@
         claims.shards.observe(shard, row.as_ref());
     }
 }
-
-impl Batch {
-    fn writes(&self, claims: &Claims) -> Vec<Write> {
-        let released = self.released();
-        let lease = |shard: &u16| {
-            let lease = Lease {
-                holder: Some(claims.incarnation).filter(|_| !released.contains(shard)),
-                writer: claims.incarnation,
-                operation: self.operation,
-            };
-            let version = claims.shards.get(*shard).version;
-            Write {
-                key: Lease::row_key(claims.domain, *shard),
-                expect: version.map_or(Expect::Absent, Expect::Version),
-                value: Some(lease.encode()),
-            }
-        };
-        let leases = self.shards.iter().map(lease);
-        let rows = self.pending.iter();
-        leases
-            .chain(rows.filter_map(|it| it.write(claims, self.claimed_ms)))
-            .collect()
-    }
-
-    fn released(&self) -> Vec<u16> {
-        let releases = |it: &&Pending| matches!(it.op, Op::Release { .. });
-        let released = self.pending.iter().filter(releases);
-        released.map(|it| it.shard).collect()
-    }
-
-    fn rows(&self) -> usize {
-        let is_row = |it: &&Pending| !matches!(it.op, Op::Release { .. });
-        self.pending.iter().filter(is_row).count()
-    }
-
-    /// True when the row in the way was written by this very transaction.
-    fn wrote(&self, claims: &Claims, conflict: &Conflict) -> bool {
-        let lease = conflict.row.as_ref().and_then(Lease::decode);
-        lease.is_some_and(|it| it.writer == claims.incarnation && it.operation == self.operation)
-    }
-}
-
-impl Pending {
-    fn write(&self, claims: &Claims, claimed_ms: u64) -> Option<Write> {
-        let (key, expect, value) = match &self.op {
-            Op::Claim { key, digest, .. } => {
-                let claimed = Claimed {
-                    incarnation: claims.incarnation,
-                    digest: *digest,
-                    claimed_ms,
-                    outcome: None,
-                };
-                (key, Expect::Absent, Some(claimed))
-            }
-            Op::End {
-                key,
-                digest,
-                version,
-                claimed_ms,
-                outcome,
-            } => {
-                let claimed = outcome.map(|outcome| Claimed {
-                    incarnation: claims.incarnation,
-                    digest: *digest,
-                    claimed_ms: *claimed_ms,
-                    outcome: Some(outcome),
-                });
-                (key, Expect::Version(*version), claimed)
-            }
-            Op::Release { .. } => return None,
-        };
-        let value = value.map(|it| postcard::to_stdvec(&it).expect("a claim holds only numbers"));
-        Some(Write {
-            key: claim::row_key(claims.domain, self.shard, key),
-            expect,
-            value,
-        })
-    }
-
-    fn granted(self, claims: &Claims, grant: Grant) {
-        match self.op {
-            Op::Claim { key, digest, reply } => {
-                if reply.send(Claim::Granted(grant)).is_err() {
-                    // Who asked has given up and will never start the job.
-                    let op = Op::End {
-                        key,
-                        digest,
-                        version: grant.version,
-                        claimed_ms: grant.claimed_ms,
-                        outcome: None,
-                    };
-                    claims.queue.push(self.shard, op);
-                }
-            }
-            Op::Release { reply } => drop(reply.send(())),
-            Op::End { .. } => {}
-        }
-    }
-
-    fn taken(self, conflict: &Conflict) {
-        let Op::Claim { reply, .. } = self.op else {
-            // Somebody else has taken care of the row.
-            return;
-        };
-        let row = conflict.row.as_ref();
-        let claimed = row.and_then(|it| postcard::from_bytes(&it.value).ok());
-        // A receiver that is gone needs no result.
-        let _ = reply.send(claimed.map_or(Claim::Moved, Claim::Taken));
-    }
-
-    fn moved(self) {
-        match self.op {
-            // A receiver that is gone needs no result.
-            Op::Claim { reply, .. } => drop(reply.send(Claim::Moved)),
-            Op::Release { reply } => drop(reply.send(())),
-            Op::End { .. } => {}
-        }
-    }
-}
--- a/crates/bluebellpath/src/peer/membership.rs
+++ b/crates/bluebellpath/src/peer/membership.rs
@@ -139,6 +139,11 @@
         &self.identity
     }
 
+    /// Network to the peers.
+    pub fn link(&self) -> &Rc<dyn Link> {
+        &self.link
+    }
+
     /// Takes in the platform's list.
     pub fn observe(&self, instances: &[Instance]) {
         let entries = instances.iter().filter(|it| it.role == Role::Entry);
--- a/crates/bluebellpath/src/peer/message.rs
+++ b/crates/bluebellpath/src/peer/message.rs
@@ -2,7 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::job::{Answer, Id, Submission};
+use crate::{
+    job::{Answer, Id, Incarnation, Submission},
+    owner::{Account, Hold, Promise},
+};
 
 /// Request from one entry instance to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -32,6 +35,13 @@
         /// Times that it may be passed on.
         hops: u8,
     },
+    /// Promise not to take over, and remember claims.
+    Hold(Hold),
+    /// Tell what is known of a peer's tenure.
+    Account {
+        /// That peer.
+        holder: Incarnation,
+    },
 }
 
 /// Reply to a [`Request`].
@@ -47,4 +57,8 @@
     Full,
     /// This instance does not own the id.
     NotOwner,
+    /// Whether the promise is given.
+    Promise(Promise),
+    /// What is known of a peer's tenure.
+    Account(Account),
 }
--- a/crates/sessions/tests/planted.rs
+++ b/crates/sessions/tests/planted.rs
@@ -17,7 +17,7 @@
         planted: Planted::SkipFence,
         checker: Checker::Late,
         fault: Some(Fault::Pause),
-        seeds: 0..1_000,
+        seeds: 0..4_000,
     },
     Plant {
         planted: Planted::ForgetClaim,
@@ -31,6 +31,12 @@
         fault: None,
         seeds: 0..300,
     },
+    Plant {
+        planted: Planted::ForgetPromise,
+        checker: Checker::Once,
+        fault: Some(Fault::StoreDown),
+        seeds: 0..2_000,
+    },
     Plant {
         planted: Planted::ForgetTicket,
         checker: Checker::Once,
