--- a/crates/bluebellpath/src/entry/config.rs
+++ b/crates/bluebellpath/src/entry/config.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use crate::{job::Incarnation, peer, platform::guard, settings::Domain};
+use crate::{job::Incarnation, peer, platform::guard, record, settings::Domain};
 
 /// Configuration of an entry instance.
 #[derive(Clone, Debug)]
@@ -17,6 +17,8 @@
     pub membership: peer::Config,
     /// Rates, retries and circuit breaking towards the platform.
     pub platform: guard::Config,
+    /// Sizes and times of the record.
+    pub record: record::Config,
     /// Failure domain.
     pub domain: Domain,
     /// Failure domains that are configured.
@@ -41,6 +43,7 @@
             address,
             membership: peer::Config::default(),
             platform: guard::Config::default(),
+            record: record::Config::default(),
             domain: Domain::new(0),
             domains: 1,
             list_interval: Duration::from_secs(1),
--- a/crates/bluebellpath/src/entry/job.rs
+++ b/crates/bluebellpath/src/entry/job.rs
@@ -12,6 +12,7 @@
     config::View,
     job::{Answer, Digest, Id, Outcome, Part, Submission, TaskId},
     platform::Instance,
+    record::Right,
 };
 
 /// Why a job is not complete, and when to ask again.
@@ -44,6 +45,8 @@
     pub(super) submitted: Instant,
     pub(super) submitted_ms: u64,
     pub(super) cancelled: Cell<bool>,
+    /// By what right this instance starts the job.
+    pub(super) right: Cell<Right>,
     slots: RefCell<Vec<Slot>>,
     left: Cell<usize>,
     cause: RefCell<Option<Cause>>,
@@ -66,6 +69,7 @@
             submitted: clock::now(),
             submitted_ms: clock::wall(),
             cancelled: Cell::new(false),
+            right: Cell::new(Right::None),
             left: Cell::new(slots.len()),
             slots: RefCell::new(slots),
             submission,
@@ -161,6 +165,11 @@
         self.done.notify();
     }
 
+    /// Answer, once it is there.
+    pub(super) fn given(&self) -> Option<Rc<Answer>> {
+        self.answer.borrow().clone()
+    }
+
     /// True once the answer is there.
     pub(super) fn is_answered(&self) -> bool {
         self.answer.borrow().is_some()
--- a/crates/bluebellpath/src/entry/mod.rs
+++ b/crates/bluebellpath/src/entry/mod.rs
@@ -10,6 +10,7 @@
 one's [`job`](crate::job) under the id and waits for the same answer.
 */
 
+mod audit;
 mod config;
 mod env;
 mod job;
@@ -31,6 +32,8 @@
 use crate::{
     job::{Answer, Id, Submission, Ticket},
     peer::Membership,
+    platform::Guarded,
+    record::Log,
 };
 
 /// One entry instance.
@@ -50,6 +53,7 @@
         drop(bluebellpath_runtime::spawn(
             state.membership.clone().run(state),
         ));
+        drop(bluebellpath_runtime::spawn(self.0.record.clone().run()));
         drop(bluebellpath_runtime::spawn(pump::run(self.0.clone())));
         drop(bluebellpath_runtime::spawn(pump::follow_targets(
             self.0.clone(),
@@ -61,6 +65,16 @@
         &self.0.membership
     }
 
+    /// Record of this incarnation.
+    pub fn record(&self) -> &Rc<Log> {
+        &self.0.record
+    }
+
+    /// Platform as this instance meets it.
+    pub fn platform(&self) -> &Rc<Guarded> {
+        &self.0.platform
+    }
+
     /// Hands out a job id that only this incarnation will ever start.
     pub fn ticket(&self) -> Ticket {
         self.0.ticket()
--- a/crates/bluebellpath/src/entry/pump.rs
+++ b/crates/bluebellpath/src/entry/pump.rs
@@ -8,13 +8,13 @@
 use slog::{debug, warn};
 
 use super::{
+    audit,
     job::{Cause, Ending, Job},
     state::State,
 };
 use crate::{
     job::Outcome,
     platform::{self, Instance, Role},
-    record,
     target::{self, Fault, Open, Reason, Start, Status},
 };
 
@@ -179,18 +179,7 @@
         return;
     }
     job.finish(outcome);
-    state.record.append(record::Entry {
-        job: job.id.clone(),
-        instance: state.config.name.clone(),
-        incarnation: state.config.incarnation,
-        submitted_ms: job.submitted_ms,
-        answered_ms: clock::wall(),
-        deadline_ms: job.submission.deadline_ms,
-        outcome,
-        preset: job.view.document.preset.clone(),
-        config_version: job.view.version,
-        unconfirmed_since: job.view.unconfirmed_since,
-    });
+    audit::enter(state, job);
 }
 
 /// Cancels a job: what waits never starts, what runs is told to stop.
@@ -219,8 +208,9 @@
     let mut roll = platform::Roll::new(state.config.domain);
     loop {
         match roll.refresh(state.env.instances.as_ref()).await {
-            Ok(false) => {}
+            Ok(false) => state.listed.set(clock::now()),
             Ok(true) => {
+                state.listed.set(clock::now());
                 let instances = roll.instances();
                 state.membership.observe(&instances);
                 let entries = instances.iter().filter(|it| it.role == Role::Entry);
--- a/crates/bluebellpath/src/entry/state.rs
+++ b/crates/bluebellpath/src/entry/state.rs
@@ -7,7 +7,7 @@
 };
 
 use bluebellpath_dispatch::{Dispatcher, TargetId};
-use bluebellpath_runtime::Notify;
+use bluebellpath_runtime::{Instant, Notify, clock};
 
 use super::{Config, Env, jobs::Jobs, names::Names};
 use crate::{
@@ -26,7 +26,9 @@
     pub(super) jobs: Jobs,
     pub(super) membership: Rc<Membership>,
     pub(super) claims: Claims,
-    pub(super) record: Log,
+    pub(super) record: Rc<Log>,
+    /// When the instance list was last read.
+    pub(super) listed: Cell<Instant>,
     pub(super) dispatcher: RefCell<Dispatcher>,
     /// Signals that the dispatcher may have something to start.
     pub(super) work: Notify,
@@ -57,7 +59,8 @@
             membership: Rc::new(membership),
             jobs: Jobs::default(),
             claims: Claims::new(env.table.clone(), config.incarnation),
-            record: Log::new(),
+            record: Rc::new(log(&config, &env)),
+            listed: Cell::new(clock::now()),
             dispatcher: RefCell::new(Dispatcher::new(Default::default())),
             work: Notify::new(),
             targets: RefCell::default(),
@@ -88,6 +91,17 @@
     }
 }
 
+fn log(config: &Config, env: &Env) -> Log {
+    let (table, objects) = (env.table.clone(), env.objects.clone());
+    Log::new(
+        &config.name,
+        config.incarnation,
+        config.record,
+        table,
+        objects,
+    )
+}
+
 fn guarded(config: &Config, env: &Env) -> Guarded {
     let (table, objects) = (env.table.clone(), env.objects.clone());
     let seed = config.incarnation.to_u64();
--- a/crates/bluebellpath/src/entry/submit.rs
+++ b/crates/bluebellpath/src/entry/submit.rs
@@ -14,6 +14,7 @@
 use crate::{
     job::{Answer, Digest, Id, Outcome, Submission},
     owner::Claim,
+    record,
 };
 
 /// Submits a job, or joins one with the same id, and waits for the answer.
@@ -46,7 +47,13 @@
 
 async fn drive(state: Rc<State>, job: Rc<Job>) {
     match claim(&state, &job).await {
-        Right::Ours => queue(&state, &job),
+        Right::Ours => {
+            job.right.set(match &job.id {
+                Id::Ticket(_) => record::Right::Ticket,
+                Id::Key(_) => record::Right::Claim,
+            });
+            queue(&state, &job);
+        }
         Right::Elsewhere(outcome, detail) => {
             job.set_cause(Cause {
                 detail,
