--- a/crates/bluebellpath/src/entry/audit.rs
+++ b/crates/bluebellpath/src/entry/audit.rs
@@ -8,9 +8,9 @@
 /// Enters the answer of `job` in the record.
 pub(super) fn enter(state: &State, job: &Job) {
     let Some(answer) = job.given() else { return };
-    let list_age = job.submitted.saturating_since(state.listed.get());
+    let list_age = job.admitted.saturating_since(state.listed.get());
     let facts = Facts {
-        right: job.right.get(),
+        right: job.right(),
         list_age_ms: list_age.as_millis() as u64,
         unconfirmed_since: job.view.unconfirmed_since,
     };
--- a/crates/bluebellpath/src/entry/state.rs
+++ b/crates/bluebellpath/src/entry/state.rs
@@ -9,10 +9,9 @@
 use bluebellpath_dispatch::{Dispatcher, TargetId};
 use bluebellpath_runtime::{Instant, Notify, clock};
 
-use super::{Config, Env, jobs::Jobs, names::Names};
+use super::{Config, Env, jobs::Jobs, names::Names, order::Order};
 use crate::{
-    job::Ticket,
-    owner::Claims,
+    owner::{Claims, Tickets},
     peer::{Heartbeat, Identity, Load, Membership, Phase, Source},
     platform::{Guarded, Instance},
     record::Log,
@@ -25,7 +24,9 @@
     pub(super) platform: Rc<Guarded>,
     pub(super) jobs: Jobs,
     pub(super) membership: Rc<Membership>,
-    pub(super) claims: Claims,
+    pub(super) order: Order,
+    pub(super) claims: Rc<Claims>,
+    pub(super) tickets: Tickets,
     pub(super) record: Rc<Log>,
     /// When the instance list was last read.
     pub(super) listed: Cell<Instant>,
@@ -36,7 +37,7 @@
     pub(super) teams: Names,
     pub(super) kinds: Names,
     pub(super) target_names: Names,
-    tickets: Cell<u64>,
+    turns: Cell<usize>,
 }
 
 impl State {
@@ -55,10 +56,16 @@
             ..env
         };
         let membership = Membership::new(identity, env.link.clone(), config.membership);
+        let membership = Rc::new(membership);
+        let table = env.table.clone();
+        let claims = Claims::new(table, membership.clone(), config.domains, config.owner);
+        let window = config.owner.max_tickets;
         State {
-            membership: Rc::new(membership),
+            membership,
             jobs: Jobs::default(),
-            claims: Claims::new(env.table.clone(), config.incarnation),
+            order: Order::new(config.planted),
+            claims: Rc::new(claims),
+            tickets: Tickets::new(config.domain, config.incarnation, window),
             record: Rc::new(log(&config, &env)),
             listed: Cell::new(clock::now()),
             dispatcher: RefCell::new(Dispatcher::new(Default::default())),
@@ -67,27 +74,17 @@
             teams: Names::default(),
             kinds: Names::default(),
             target_names: Names::default(),
-            tickets: Cell::new(0),
+            turns: Cell::new(0),
             config,
             env,
             platform,
         }
     }
 
-    pub(super) fn ticket(&self) -> Ticket {
-        self.tickets.set(self.tickets.get() + 1);
-        Ticket {
-            domain: self.config.domain,
-            incarnation: self.config.incarnation,
-            counter: self.tickets.get(),
-        }
-    }
-
-    /// True when `ticket` was handed out by this incarnation.
-    pub(super) fn issued(&self, ticket: &Ticket) -> bool {
-        ticket.incarnation == self.config.incarnation
-            && ticket.domain == self.config.domain
-            && (1..=self.tickets.get()).contains(&ticket.counter)
+    /// Number that grows with each call, to take peers in turn.
+    pub(super) fn turn(&self) -> usize {
+        self.turns.set(self.turns.get() + 1);
+        self.turns.get()
     }
 }
 
