--- a/crates/bluebellpath/src/entry/mod.rs
+++ b/crates/bluebellpath/src/entry/mod.rs
@@ -12,6 +12,7 @@
 */
 
 mod ask;
+mod audit;
 mod check;
 mod config;
 mod doubt;
@@ -50,6 +51,8 @@
 use crate::{
     job::{Answer, Id, Submission, Ticket},
     peer::Membership,
+    platform::Guarded,
+    record::Log,
 };
 
 /// One entry instance.
@@ -69,6 +72,7 @@
         drop(bluebellpath_runtime::spawn(
             state.membership.clone().run(state),
         ));
+        drop(bluebellpath_runtime::spawn(self.0.record.clone().run()));
         self.0.claims.start();
         drop(bluebellpath_runtime::spawn(evict::run(self.0.clone())));
         drop(bluebellpath_runtime::spawn(pump::run(self.0.clone())));
@@ -82,6 +86,16 @@
         &self.0.membership
     }
 
+    /// Record of this incarnation.
+    pub fn record(&self) -> &Rc<Log> {
+        &self.0.record
+    }
+
+    /// Platform as this instance meets it.
+    pub fn platform(&self) -> &Rc<Guarded> {
+        &self.0.platform
+    }
+
     /// Hands out a job id that only this incarnation will ever start.
     pub fn ticket(&self) -> Ticket {
         self.0.tickets.issue()
--- a/crates/bluebellpath/src/entry/pump.rs
+++ b/crates/bluebellpath/src/entry/pump.rs
@@ -8,7 +8,7 @@
 use slog::{debug, warn};
 
 use super::{
-    Planted, evict,
+    Planted, audit, evict,
     fence::Right,
     job::{Cause, Ending, Job},
     state::State,
@@ -16,7 +16,6 @@
 use crate::{
     job::{Id, Outcome},
     platform::{self, Instance, Role},
-    record,
     target::{self, Fault, Reason, Start, Status},
 };
 
@@ -191,18 +190,7 @@
     }
     job.finish(outcome, state.config.planted);
     end_claim(state, job, outcome);
-    state.record.append(record::Entry {
-        job: job.id.clone(),
-        instance: state.config.name.clone(),
-        incarnation: state.config.incarnation,
-        submitted_ms: job.submitted_ms,
-        answered_ms: clock::wall(),
-        deadline_ms: job.submission.deadline_ms,
-        outcome,
-        preset: job.view.document.preset.clone(),
-        config_version: job.view.version,
-        unconfirmed_since: job.view.unconfirmed_since,
-    });
+    audit::enter(state, job);
     if job.cancelled.get() && state.config.planted == Some(Planted::DropAnswer) {
         return;
     }
@@ -248,8 +236,9 @@
     let mut roll = platform::Roll::new(state.config.domain);
     loop {
         match roll.refresh(state.env.instances.as_ref()).await {
-            Ok(false) => {}
+            Ok(false) => state.listed.set(clock::now()),
             Ok(true) => {
+                state.listed.set(clock::now());
                 let instances = roll.instances();
                 state.membership.observe(&instances);
                 let entries = instances.iter().filter(|it| it.role == Role::Entry);
--- a/crates/bluebellpath/src/entry/state.rs
+++ b/crates/bluebellpath/src/entry/state.rs
@@ -7,7 +7,7 @@
 };
 
 use bluebellpath_dispatch::{Dispatcher, TargetId};
-use bluebellpath_runtime::Notify;
+use bluebellpath_runtime::{Instant, Notify, clock};
 
 use super::{Config, Env, Planted, jobs::Jobs, names::Names, order::Order};
 use crate::{
@@ -27,7 +27,9 @@
     pub(super) order: Order,
     pub(super) claims: Rc<Claims>,
     pub(super) tickets: Tickets,
-    pub(super) record: Log,
+    pub(super) record: Rc<Log>,
+    /// When the instance list was last read.
+    pub(super) listed: Cell<Instant>,
     pub(super) dispatcher: RefCell<Dispatcher>,
     /// Signals that the dispatcher may have something to start.
     pub(super) work: Notify,
@@ -68,7 +70,8 @@
             order: Order::new(config.planted),
             claims: Rc::new(claims),
             tickets: Tickets::new(config.domain, config.incarnation, window),
-            record: Log::new(),
+            record: Rc::new(log(&config, &env)),
+            listed: Cell::new(clock::now()),
             dispatcher: RefCell::new(Dispatcher::new(Default::default())),
             work: Notify::new(),
             targets: RefCell::default(),
@@ -90,6 +93,17 @@
     }
 }
 
+fn log(config: &Config, env: &Env) -> Log {
+    let (table, objects) = (env.table.clone(), env.objects.clone());
+    Log::new(
+        &config.name,
+        config.incarnation,
+        config.record,
+        table,
+        objects,
+    )
+}
+
 fn guarded(config: &Config, env: &Env) -> Guarded {
     let (table, objects) = (env.table.clone(), env.objects.clone());
     let seed = config.incarnation.to_u64();
