Show metrics and a bounded dump of every table

Cause: nothing could be seen of a running instance but its log. Change: opentelemetry instruments read on demand at /metrics; /debug/state and bluebellpath dump; refusals carry their reason, which picks the status. Measured: a dump of 5 rows a table while 300 jobs wait; series checked line by line. Conclusion: response, its ratio, starts by ending, queue, leases and processor time are readable, and a dump's size doesn't grow with load.

--- a/crates/bluebellpath/src/caller/mod.rs
+++ b/crates/bluebellpath/src/caller/mod.rs
@@ -9,6 +9,8 @@
 * `DELETE /jobs/ID` cancels a job.
 * `GET /health/live` answers while the process runs, `GET /health/ready` while
   the balancer should send requests here.
+* `GET /metrics` tells the metrics, `GET /debug/state?limit=N` the tables of the
+  process with at most N rows each.
 
 A complete answer is 200 with the results. All else is a problem document (RFC
 9457) whose `outcome` says what is true of the job: `failed`, `not_run` or
--- a/crates/bluebellpath/src/caller/service.rs
+++ b/crates/bluebellpath/src/caller/service.rs
@@ -23,6 +23,15 @@
 /// Time after which to ask again for an answer that is not there.
 const PENDING_RETRY: Duration = Duration::from_secs(1);
 
+/// Content type of metrics.
+const METRICS_TYPE: &str = "text/plain; version=0.0.4";
+
+/// Rows of each table in a dump, where the request names no limit.
+const DEFAULT_ROWS: usize = 100;
+
+/// Most rows of each table in a dump.
+const MAX_ROWS: usize = 1000;
+
 /// Most tickets handed out at once.
 const MAX_TICKETS: usize = 1000;
 
@@ -51,6 +60,10 @@
                 Ok(Response::new(StatusCode::NO_CONTENT))
             }
             (&(Method::GET | Method::HEAD), ["health", "ready"]) => self.ready(),
+            (&Method::GET, ["metrics"]) => Ok(Response::new(StatusCode::OK)
+                .with_type(METRICS_TYPE)
+                .with_body(self.entry.metrics())),
+            (&Method::GET, ["debug", "state"]) => self.dump(&request),
             (&Method::POST, ["tickets"]) => self.tickets(&request),
             (&Method::POST, ["jobs"]) => self.submit(request).await,
             (&Method::GET, ["jobs", id]) => self.fetch(id, &request).await,
@@ -76,6 +89,18 @@
         Err(Problem::not_run(status, "not-ready", detail))
     }
 
+    fn dump(&self, request: &Request) -> Result<Response, Box<Problem>> {
+        let limit = match request.parameter("limit").map(str::parse) {
+            None => DEFAULT_ROWS,
+            Some(Ok(limit)) if limit <= MAX_ROWS => limit,
+            Some(_) => {
+                let detail = format!("limit: allowed 0 to {MAX_ROWS}");
+                return Err(Problem::not_run(StatusCode::BAD_REQUEST, "invalid", detail));
+            }
+        };
+        Ok(Response::json(StatusCode::OK, &self.entry.dump(limit)))
+    }
+
     fn tickets(&self, request: &Request) -> Result<Response, Box<Problem>> {
         let count = match request.parameter("count").map(str::parse) {
             None => 1,
@@ -157,6 +182,7 @@
         ["tickets"] | ["jobs"] => Some("POST"),
         ["jobs", _] => Some("GET, DELETE"),
         ["health", "live" | "ready"] => Some("GET, HEAD"),
+        ["metrics"] | ["debug", "state"] => Some("GET"),
         _ => None,
     }
 }
--- a/crates/bluebellpath/src/entry/home.rs
+++ b/crates/bluebellpath/src/entry/home.rs
@@ -102,7 +102,7 @@
     if let Id::Ticket(ticket) = id {
         fresh(state, ticket).map_err(unknown)?;
     }
-    let Some(detail) = hopeless(state, submission, waited) else {
+    let Some((reason, detail)) = hopeless(state, submission, waited) else {
         return Ok(());
     };
     if let Id::Key(key) = id {
@@ -124,7 +124,9 @@
         }
     }
     let not_run = Outcome::NotRun;
-    let answer = doubt::answer(state, id, Some(submission), not_run, detail);
+    let mut answer = doubt::answer(state, id, Some(submission), not_run, detail);
+    Rc::make_mut(&mut answer).reason = Some(reason);
+    state.meters.answered(not_run, waited, None);
     Err(Settled::Answer(answer))
 }
 
@@ -139,14 +141,20 @@
 }
 
 /// Why a job can never run; `None` when it may.
-fn hopeless(state: &State, submission: &Submission, waited: Duration) -> Option<&'static str> {
+fn hopeless(
+    state: &State,
+    submission: &Submission,
+    waited: Duration,
+) -> Option<(crate::job::Reason, &'static str)> {
     if waited >= Duration::from_millis(submission.deadline_ms) {
-        return Some("the deadline passed before it could start");
+        let detail = "the deadline passed before it could start";
+        return Some((crate::job::Reason::Deadline, detail));
     }
     let targets = state.targets.borrow();
     let largest = targets.values().map(|it| it.slots).max()?;
     let too_large = submission.tasks.iter().any(|it| it.size > largest);
-    too_large.then_some("no target takes tasks of this size")
+    let detail = "no target takes tasks of this size";
+    too_large.then_some((crate::job::Reason::TooLarge, detail))
 }
 
 /// Whether this instance may start a job.
--- a/crates/bluebellpath/src/entry/job.rs
+++ b/crates/bluebellpath/src/entry/job.rs
@@ -56,6 +56,7 @@
     pub(super) digest: Digest,
     pub(super) submission: Submission,
     pub(super) view: Rc<View>,
+    pub(super) began: Instant,
     pub(super) submitted_ms: u64,
     pub(super) deadline: Instant,
     pub(super) cancelled: Cell<bool>,
@@ -91,6 +92,7 @@
             number,
             digest: Digest::of(&submission),
             view,
+            began: clock::now(),
             submitted_ms: clock::wall(),
             deadline: clock::now() + limit.saturating_sub(waited),
             cancelled: Cell::new(false),
@@ -172,6 +174,13 @@
         self.cause.borrow_mut().get_or_insert(cause);
     }
 
+    /// Run of the longest task, where one is known.
+    pub(super) fn longest(&self) -> Option<Duration> {
+        let slots = self.slots.borrow();
+        let runs = slots.iter().filter_map(|it| it.part.elapsed_us);
+        runs.max().map(Duration::from_micros)
+    }
+
     /// Outcome of the job, given that all of its tasks have ended.
     pub(super) fn outcome(&self) -> Outcome {
         Outcome::of_job(self.slots.borrow().iter().map(|it| it.part.outcome))
--- a/crates/bluebellpath/src/entry/jobs.rs
+++ b/crates/bluebellpath/src/entry/jobs.rs
@@ -51,6 +51,19 @@
         self.by_id.borrow_mut().remove(&job.id);
     }
 
+    /// First `limit` jobs in the order of their numbers.
+    pub(super) fn oldest(&self, limit: usize) -> Vec<Rc<Job>> {
+        let jobs = self.by_number.borrow();
+        let mut numbers: Vec<JobId> = jobs.keys().copied().collect();
+        if numbers.len() > limit {
+            // Under load only the part that is shown is sorted.
+            numbers.select_nth_unstable(limit);
+            numbers.truncate(limit);
+        }
+        numbers.sort_unstable();
+        numbers.iter().map(|it| jobs[it].clone()).collect()
+    }
+
     /// Jobs without an answer.
     pub(super) fn unanswered(&self) -> usize {
         let jobs = self.by_number.borrow();
--- a/crates/bluebellpath/src/entry/mod.rs
+++ b/crates/bluebellpath/src/entry/mod.rs
@@ -24,6 +24,7 @@
 mod jobs;
 mod lifecycle;
 mod names;
+mod observe;
 mod order;
 mod planted;
 mod pump;
--- a/crates/bluebellpath/src/entry/pump.rs
+++ b/crates/bluebellpath/src/entry/pump.rs
@@ -94,6 +94,7 @@
     let result = state.env.targets.start(start, fence).await;
     let elapsed = clock::now() - began;
     let (ending, task_ending) = endings(result, elapsed, &state, &job);
+    state.meters.started(ending);
     if report(&state, assignment, ending, elapsed) == Next::Requeued {
         job.requeued(assignment.task);
     } else {
@@ -189,6 +190,8 @@
         return;
     }
     job.finish(outcome, state.config.planted);
+    let response = clock::now() - job.began;
+    state.meters.answered(outcome, response, job.longest());
     end_claim(state, job, outcome);
     state.record.append(record::Entry {
         job: job.id.clone(),
@@ -235,6 +238,7 @@
     for (index, target) in job.running() {
         let (state, task) = (state.clone(), job.task(index));
         drop(spawn(async move {
+            state.meters.stopped();
             if let Err(error) = state.env.targets.stop(&target, &task).await {
                 warn!(state.env.log, "stop failed"; "task" => %task, "error" => %error);
             }
--- a/crates/bluebellpath/src/entry/state.rs
+++ b/crates/bluebellpath/src/entry/state.rs
@@ -11,6 +11,7 @@
 
 use super::{Config, Env, jobs::Jobs, names::Names, order::Order};
 use crate::{
+    metric::Meters,
     owner::{Claims, Tickets},
     peer::{Heartbeat, Identity, Load, Membership, Phase, Source},
     platform::{Guarded, Instance},
@@ -37,6 +38,7 @@
     pub(super) target_names: Names,
     /// Where the instance stands in its life, as peers and balancers see it.
     pub(super) phase: Cell<Phase>,
+    pub(super) meters: Meters,
     turns: Cell<usize>,
 }
 
@@ -74,6 +76,7 @@
             kinds: Names::default(),
             target_names: Names::default(),
             phase: Cell::new(Phase::Serving),
+            meters: Meters::default(),
             turns: Cell::new(0),
             config,
             env,
--- a/crates/bluebellpath/src/job/outcome.rs
+++ b/crates/bluebellpath/src/job/outcome.rs
@@ -22,6 +22,16 @@
 }
 
 impl Outcome {
+    /// Name, as answers and metrics have it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Outcome::Complete => "complete",
+            Outcome::Failed => "failed",
+            Outcome::NotRun => "not_run",
+            Outcome::Unknown => "unknown",
+        }
+    }
+
     /// Outcome of a job whose tasks ended as `tasks`.
     pub fn of_job(tasks: impl IntoIterator<Item = Outcome>) -> Outcome {
         tasks
--- a/crates/bluebellpath/src/lib.rs
+++ b/crates/bluebellpath/src/lib.rs
@@ -16,6 +16,8 @@
 * [`config`]: the configuration in force, its teams and presets.
 * [`record`]: what a regulator can be shown afterwards.
 * [`settings`]: what one process is started with.
+* [`daemon`]: an instance as a process, from its start to a planned stop.
+* [`log`], [`metric`], [`dump`]: what operators see of it.
 
 The choice of targets lives in the crate `bluebellpath-dispatch`, the clock and
 the tasks in `bluebellpath-runtime`.
@@ -30,10 +32,12 @@
 pub mod caller;
 pub mod config;
 pub mod daemon;
+pub mod dump;
 pub mod entry;
 pub mod http;
 pub mod job;
 pub mod log;
+pub mod metric;
 pub mod owner;
 pub mod peer;
 pub mod platform;
--- /dev/null
+++ b/crates/bluebellpath/src/metric/sample.rs
@@ -0,0 +1,24 @@
+//! Values that are read when metrics are.
+
+/// Values that are read when metrics are.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sample {
+    /// Jobs that are kept, answered ones included.
+    pub jobs: u64,
+    /// Tasks that wait.
+    pub waiting: u64,
+    /// Tasks that run.
+    pub running: u64,
+    /// Targets that are listed.
+    pub targets: u64,
+    /// Peers that were heard of lately.
+    pub peers: u64,
+    /// Leases of shards that are held.
+    pub leases: u64,
+    /// Record entries that are not written yet.
+    pub unwritten: u64,
+    /// Bytes of heartbeats sent so far.
+    pub heartbeat_bytes: u64,
+    /// Configuration version in force.
+    pub config_version: u64,
+}
--- a/crates/bluebellpath/src/owner/claims.rs
+++ b/crates/bluebellpath/src/owner/claims.rs
@@ -80,6 +80,11 @@
         self.shards.get(self.shard(key)).holder
     }
 
+    /// Shards whose lease this instance holds.
+    pub fn held(&self) -> Vec<u16> {
+        self.shards.held()
+    }
+
     /// Signals that a shard changed hands.
     pub fn changed(&self) -> &Notify {
         &self.shards.changed
--- a/crates/bluebellpath/tests/daemon/main.rs
+++ b/crates/bluebellpath/tests/daemon/main.rs
@@ -3,4 +3,5 @@
 mod bad_input;
 mod caller;
 mod drain;
+mod observe;
 mod system;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,8 +1,9 @@
 //! The operators' tool.
 
 mod demo;
+mod dump;
 
-use std::process::ExitCode;
+use std::{net::SocketAddr, process::ExitCode};
 
 use clap::{Arg, Command, value_parser};
 
@@ -14,6 +15,13 @@
             let seed = *matches.get_one("seed").expect("clap fills in the default");
             demo::run(&demo::Config { jobs, seed })
         }
+        Some(("dump", matches)) => {
+            let entry: &SocketAddr = matches
+                .get_one("entry")
+                .expect("clap requires the argument");
+            let limit = *matches.get_one("limit").expect("clap fills in the default");
+            dump::run(*entry, limit)
+        }
         _ => ExitCode::FAILURE,
     }
 }
@@ -35,4 +43,16 @@
                 .arg(number("jobs", "60").help("Jobs to submit"))
                 .arg(number("seed", "1").help("Seed of the jobs")),
         )
+        .subcommand(
+            Command::new("dump")
+                .about("Shows the tables of an entry instance")
+                .arg(
+                    Arg::new("entry")
+                        .long("entry")
+                        .help("Address of the instance")
+                        .required(true)
+                        .value_parser(value_parser!(SocketAddr)),
+                )
+                .arg(number("limit", "100").help("Most rows of each table")),
+        )
 }
