--- a/crates/bluebellpath/src/entry/state.rs
+++ b/crates/bluebellpath/src/entry/state.rs
@@ -11,6 +11,7 @@
 
 use super::{Config, Env, Planted, jobs::Jobs, names::Names, order::Order};
 use crate::{
+    metric::Meters,
     owner::{Claims, Tickets},
     peer::{Heartbeat, Identity, Load, Membership, Phase, Source},
     platform::{Guarded, Instance},
@@ -39,6 +40,7 @@
     pub(super) target_names: Names,
     /// Where the instance stands in its life, as peers and balancers see it.
     pub(super) phase: Cell<Phase>,
+    pub(super) meters: Meters,
     turns: Cell<usize>,
 }
 
@@ -79,6 +81,7 @@
             kinds: Names::default(),
             target_names: Names::default(),
             phase: Cell::new(Phase::Serving),
+            meters: Meters::default(),
             turns: Cell::new(0),
             config,
             env,
