Check that every answer of a session is in the record

Cause: answers about jobs without an account here were not entered, and no session looked into the record. Change: they are entered; the sessions' checker reads and verifies the whole record and allows only declared gaps and crashes that show.

--- a/crates/bluebellpath/src/entry/audit.rs
+++ b/crates/bluebellpath/src/entry/audit.rs
@@ -3,7 +3,10 @@
 use bluebellpath_runtime::clock;
 
 use super::{job::Job, state::State};
-use crate::record::{Entry, Facts, Times};
+use crate::{
+    job::{Answer, Submission},
+    record::{Entry, Facts, Right, Times},
+};
 
 /// Enters the answer of `job` in the record.
 pub(super) fn enter(state: &State, job: &Job) {
@@ -28,3 +31,32 @@
         &facts,
     ));
 }
+
+/// Enters an answer about a job of which this instance has no account.
+pub(super) fn enter_doubt(
+    state: &State,
+    answer: &Answer,
+    submission: Option<&Submission>,
+    unconfirmed_since: Option<u64>,
+) {
+    let list_age = clock::now().saturating_since(state.listed.get());
+    let facts = Facts {
+        right: Right::None,
+        list_age_ms: list_age.as_millis() as u64,
+        unconfirmed_since,
+    };
+    let now = clock::wall();
+    let times = Times {
+        submitted_ms: now,
+        answered_ms: now,
+        deadline_ms: submission.map_or(0, |it| it.deadline_ms),
+    };
+    state.record.append(Entry::new(
+        &state.config.name,
+        state.config.incarnation,
+        submission.map_or("", |it| it.team.as_str()),
+        answer,
+        times,
+        &facts,
+    ));
+}
--- a/crates/bluebellpath/src/entry/doubt.rs
+++ b/crates/bluebellpath/src/entry/doubt.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use super::state::State;
+use super::{audit, state::State};
 use crate::job::{Answer, Id, Outcome, Part, Submission};
 
 /// Answer with `outcome` about a job that has no other account of its tasks.
@@ -22,7 +22,7 @@
         result: None,
         elapsed_us: None,
     };
-    Rc::new(Answer {
+    let answer = Rc::new(Answer {
         id: id.clone(),
         outcome,
         detail: Some(detail.to_owned()),
@@ -30,7 +30,9 @@
         parts: tasks.iter().map(|it| part(&it.caller)).collect(),
         preset: view.document.preset.clone(),
         config_version: view.version,
-    })
+    });
+    audit::enter_doubt(state, &answer, submission, view.unconfirmed_since);
+    answer
 }
 
 /// Answer that it is not known what became of a job.
--- a/crates/sessions/src/check/mod.rs
+++ b/crates/sessions/src/check/mod.rs
@@ -8,8 +8,11 @@
 mod not_run;
 mod once;
 mod order;
+mod recorded;
 mod same;
 
+pub use recorded::check as recorded;
+
 use bluebellpath::job::Id;
 use bluebellpath_standin::Run;
 use derive_more::Display;
@@ -40,6 +43,9 @@
     /// Each request gets an answer.
     #[display("answered")]
     Answered,
+    /// Each answer is in the record (P9).
+    #[display("recorded")]
+    Recorded,
 }
 
 /// Promise that was broken.
--- a/crates/sessions/src/session.rs
+++ b/crates/sessions/src/session.rs
@@ -81,9 +81,11 @@
     // What still runs after the last answer counts as well.
     clock::sleep(ASKED).await;
     let (seen, runs) = (history.all(), fleet.targets.runs());
+    let mut violations = check::all(&case, &seen, &runs);
+    violations.extend(check::recorded(&fleet, &seen).await);
     Report {
         case,
-        violations: check::all(&case, &seen, &runs),
+        violations,
         struck: struck.into_iter().map(|(it, n)| (it, n.get())).collect(),
         outcomes: Outcomes::of(&seen),
         requests: seen.len(),
