--- a/crates/bluebellpath/src/entry/state.rs
+++ b/crates/bluebellpath/src/entry/state.rs
@@ -96,7 +96,10 @@
 impl Source for State {
     fn fill(&self, heartbeat: &mut Heartbeat) {
         let dispatcher = self.dispatcher.borrow();
-        heartbeat.phase = Phase::Serving;
+        heartbeat.phase = match self.claims.is_releasing() {
+            true => Phase::Draining,
+            false => Phase::Serving,
+        };
         heartbeat.config_version = self.env.config.view().version;
         heartbeat.load = Load {
             waiting: dispatcher.waiting() as u32,
--- a/crates/bluebellpath/src/owner/claims.rs
+++ b/crates/bluebellpath/src/owner/claims.rs
@@ -206,6 +206,11 @@
         join_all(released).await;
     }
 
+    /// True once a planned stop hands the shards back.
+    pub fn is_releasing(&self) -> bool {
+        self.releasing.get()
+    }
+
     /// Transactions made so far.
     pub fn transactions(&self) -> u64 {
         self.transactions.get()
--- a/crates/bluebellpath/src/owner/keeper.rs
+++ b/crates/bluebellpath/src/owner/keeper.rs
@@ -152,7 +152,7 @@
     }
     // Others get a little longer, in case the first choice is not there.
     let patience = match preferred(claims, index) {
-        Some(_) => claims.config.poll * 2,
+        Some(_) => claims.config.poll,
         None => Duration::ZERO,
     };
     match shard.holder {
