--- a/crates/bluebellpath/src/entry/ask.rs
+++ b/crates/bluebellpath/src/entry/ask.rs
@@ -44,6 +44,7 @@
 /// Asks for a job at its home and waits for the answer.
 pub(super) async fn ask(state: &Rc<State>, ask: Ask, id: &Id, hops: u8) -> Told {
     let deadline = clock::now() + PATIENCE;
+    let mut pause = submit::PAUSE;
     loop {
         if let Some(answer) = here(state, ask, id).await {
             return Told::Answer(answer);
@@ -69,7 +70,8 @@
             let detail = "the home of the id was not reached";
             return Told::Answer(doubt::unknown(state, id, None, detail));
         }
-        submit::changed(state, deadline).await;
+        submit::changed(state, deadline, pause).await;
+        pause = (pause * 2).min(submit::PAUSE_MAX);
     }
 }
 
--- a/crates/bluebellpath/src/entry/submit.rs
+++ b/crates/bluebellpath/src/entry/submit.rs
@@ -20,8 +20,11 @@
 /// Time after the deadline for which the home's answer is waited for.
 const GRACE: Duration = Duration::from_millis(250);
 
-/// Pause before a request is routed anew.
-const PAUSE: Duration = Duration::from_millis(50);
+/// First pause before a request is routed anew.
+pub(super) const PAUSE: Duration = Duration::from_millis(50);
+
+/// Longest such pause.
+pub(super) const PAUSE_MAX: Duration = Duration::from_millis(400);
 
 /// Way that a request has come.
 #[derive(Clone, Copy, Debug)]
@@ -55,6 +58,7 @@
     let limit = Duration::from_millis(submission.deadline_ms).saturating_sub(way.waited);
     let deadline = arrived + limit;
     let mut lost = false;
+    let mut pause = PAUSE;
     loop {
         // A job that is here stays here, whoever its home is by now.
         if let Some(settled) = home::join(state, &id, &submission).await {
@@ -98,7 +102,8 @@
         if clock::now() >= deadline {
             return Ok(Some(too_late(state, &id, &submission, lost)));
         }
-        changed(state, deadline).await;
+        changed(state, deadline, pause).await;
+        pause = (pause * 2).min(PAUSE_MAX);
     }
 }
 
@@ -111,10 +116,10 @@
     doubt::unknown(state, id, Some(submission), detail)
 }
 
-/// Waits for a change of homes, a little while, or the deadline.
-pub(super) async fn changed(state: &State, deadline: Instant) {
+/// Waits for a change of homes, for `pause`, or for the deadline.
+pub(super) async fn changed(state: &State, deadline: Instant, pause: Duration) {
     let changed = std::pin::pin!(state.claims.changed().notified());
-    let pause = clock::sleep_until(deadline.min(clock::now() + PAUSE));
+    let pause = clock::sleep_until(deadline.min(clock::now() + pause));
     match select(changed, pause).await {
         Either::Left(_) | Either::Right(_) => {}
     }
