Put one configuration in force everywhere at a stated time

Cause: each instance held a fixed default document. Change: a history of typed changes behind one head row; two writes for a change, a stated effective time, a reader for each domain, versions spread on heartbeats, starts from the table or from peers. Conclusion: an instance knows the preset in force, or since when it can't.

--- a/crates/bluebellpath/src/caller/service.rs
+++ b/crates/bluebellpath/src/caller/service.rs
@@ -17,6 +17,9 @@
 /// Most tickets handed out at once.
 const MAX_TICKETS: usize = 1000;
 
+/// Time after which to ask an instance again that starts, in milliseconds.
+const STARTING_RETRY_MS: u64 = 1000;
+
 /// Callers' interface to an entry instance.
 #[derive(Clone)]
 pub struct Api {
@@ -129,12 +132,16 @@
 }
 
 fn refused(refusal: Refusal) -> Box<Problem> {
+    let starting = matches!(refusal, Refusal::Starting { .. });
     let (status, kind) = match refusal {
+        Refusal::Starting { .. } => (StatusCode::SERVICE_UNAVAILABLE, "starting"),
         Refusal::Mismatch { .. } => (StatusCode::CONFLICT, "mismatch"),
         Refusal::Full { .. } => (StatusCode::SERVICE_UNAVAILABLE, "full"),
         Refusal::Invalid { .. } => (StatusCode::BAD_REQUEST, "invalid"),
     };
-    Problem::not_run(status, kind, refusal.to_string())
+    let mut problem = Problem::not_run(status, kind, refusal.to_string());
+    problem.retry_after_ms = starting.then_some(STARTING_RETRY_MS);
+    problem
 }
 
 fn missing(text: &str) -> Box<Problem> {
--- /dev/null
+++ b/crates/bluebellpath/src/config/change.rs
@@ -0,0 +1,174 @@
+//! Typed changes, which travel in place of whole documents.
+
+use serde::{Deserialize, Serialize};
+
+use super::{Document, Drain, Key, Kind, Limit, Preset, Retention, Team};
+use crate::settings::Domain;
+
+/// One change of a document. Setting replaces what has the same name; removing
+/// what is not there changes nothing.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Change {
+    /// Puts another preset in force.
+    SwitchPreset(String),
+    /// Adds or replaces a preset.
+    SetPreset(Preset),
+    /// Removes a preset.
+    RemovePreset(String),
+    /// Adds or replaces a team.
+    SetTeam(Team),
+    /// Removes a team.
+    RemoveTeam(String),
+    /// Adds or replaces a kind of task.
+    SetKind(Kind),
+    /// Removes a kind of task.
+    RemoveKind(String),
+    /// Adds or replaces the limit of a domain's targets.
+    SetLimit(Limit),
+    /// Removes the limit of a domain's targets.
+    RemoveLimit(Domain),
+    /// Gives no new work to targets.
+    Drain(Drain),
+    /// Gives new work to targets again.
+    Undrain(Drain),
+    /// Adds or replaces a key.
+    SetKey(Key),
+    /// Removes a key.
+    RemoveKey(String),
+    /// Sets how long records are kept.
+    SetRetention(Retention),
+}
+
+impl Change {
+    /// Makes the change.
+    pub fn apply(&self, document: &mut Document) {
+        match self {
+            Change::SwitchPreset(name) => document.preset.clone_from(name),
+            Change::SetPreset(it) => set(&mut document.presets, it, |it| it.name.clone()),
+            Change::RemovePreset(name) => document.presets.retain(|it| it.name != *name),
+            Change::SetTeam(it) => set(&mut document.teams, it, |it| it.name.clone()),
+            Change::RemoveTeam(name) => document.teams.retain(|it| it.name != *name),
+            Change::SetKind(it) => set(&mut document.kinds, it, |it| it.name.clone()),
+            Change::RemoveKind(name) => document.kinds.retain(|it| it.name != *name),
+            Change::SetLimit(it) => set(&mut document.limits, it, |it| it.domain),
+            Change::RemoveLimit(domain) => document.limits.retain(|it| it.domain != *domain),
+            Change::Drain(it) => set(&mut document.drains, it, Drain::clone),
+            Change::Undrain(drain) => document.drains.retain(|it| it != drain),
+            Change::SetKey(it) => set(&mut document.keys, it, |it| it.name.clone()),
+            Change::RemoveKey(name) => document.keys.retain(|it| it.name != *name),
+            Change::SetRetention(it) => document.retention = *it,
+        }
+    }
+
+    /// True for changes that only an administrator may make.
+    pub fn concerns_keys(&self) -> bool {
+        matches!(self, Change::SetKey(_) | Change::RemoveKey(_))
+    }
+
+    /// Changes that turn `old` into `new`, both sorted.
+    pub fn between(old: &Document, new: &Document) -> Vec<Change> {
+        let mut changes = Vec::new();
+        let name = |it: &Preset| it.name.clone();
+        diff(
+            &old.presets,
+            &new.presets,
+            name,
+            Change::SetPreset,
+            |_| None,
+            &mut changes,
+        );
+        if old.preset != new.preset {
+            changes.push(Change::SwitchPreset(new.preset.clone()));
+        }
+        let remove = |name| Some(Change::RemovePreset(name));
+        removed(&old.presets, &new.presets, name, remove, &mut changes);
+        let (name, remove) = (
+            |it: &Team| it.name.clone(),
+            |it| Some(Change::RemoveTeam(it)),
+        );
+        diff(
+            &old.teams,
+            &new.teams,
+            name,
+            Change::SetTeam,
+            remove,
+            &mut changes,
+        );
+        let (name, remove) = (
+            |it: &Kind| it.name.clone(),
+            |it| Some(Change::RemoveKind(it)),
+        );
+        diff(
+            &old.kinds,
+            &new.kinds,
+            name,
+            Change::SetKind,
+            remove,
+            &mut changes,
+        );
+        let (name, remove) = (|it: &Limit| it.domain, |it| Some(Change::RemoveLimit(it)));
+        diff(
+            &old.limits,
+            &new.limits,
+            name,
+            Change::SetLimit,
+            remove,
+            &mut changes,
+        );
+        let (name, remove) = (Drain::clone, |it| Some(Change::Undrain(it)));
+        diff(
+            &old.drains,
+            &new.drains,
+            name,
+            Change::Drain,
+            remove,
+            &mut changes,
+        );
+        let (name, remove) = (|it: &Key| it.name.clone(), |it| Some(Change::RemoveKey(it)));
+        diff(
+            &old.keys,
+            &new.keys,
+            name,
+            Change::SetKey,
+            remove,
+            &mut changes,
+        );
+        if old.retention != new.retention {
+            changes.push(Change::SetRetention(new.retention));
+        }
+        changes
+    }
+}
+
+/// Inserts `item` in the order of its key, replacing one with the same key.
+fn set<T: Clone, K: Ord>(items: &mut Vec<T>, item: &T, key: impl Fn(&T) -> K) {
+    match items.binary_search_by_key(&key(item), &key) {
+        Ok(place) => items[place] = item.clone(),
+        Err(place) => items.insert(place, item.clone()),
+    }
+}
+
+fn diff<T: Clone + PartialEq, K: Ord>(
+    old: &[T],
+    new: &[T],
+    key: impl Fn(&T) -> K + Copy,
+    set: impl Fn(T) -> Change,
+    remove: impl Fn(K) -> Option<Change>,
+    changes: &mut Vec<Change>,
+) {
+    let kept = |it: &&T| !old.contains(it);
+    changes.extend(new.iter().filter(kept).cloned().map(set));
+    removed(old, new, key, remove, changes);
+}
+
+fn removed<T, K: Ord>(
+    old: &[T],
+    new: &[T],
+    key: impl Fn(&T) -> K,
+    remove: impl Fn(K) -> Option<Change>,
+    changes: &mut Vec<Change>,
+) {
+    let gone = |it: &&T| !new.iter().any(|other| key(other) == key(it));
+    changes.extend(old.iter().filter(gone).filter_map(|it| remove(key(it))));
+}
--- a/crates/bluebellpath/src/config/current.rs
+++ b/crates/bluebellpath/src/config/current.rs
@@ -2,36 +2,163 @@
 
 use std::{cell::RefCell, rc::Rc};
 
-use super::Document;
-
-/// Configuration at one moment.
-#[derive(Clone, Debug, PartialEq)]
-pub struct View {
-    /// Version of the document.
-    pub version: u64,
-    /// The document.
-    pub document: Rc<Document>,
-    /// Wall time since when the version can't be confirmed, in milliseconds
-    /// since the epoch; `None` while it is confirmed.
-    pub unconfirmed_since: Option<u64>,
-}
+use bluebellpath_runtime::{Notify, clock};
+
+use super::{Accepted, Document, Snapshot, Timing, Update, View, known::Known};
+use crate::platform::Instance;
 
 /// Configuration that this instance acts under.
-pub struct Current(RefCell<Rc<View>>);
+///
+/// [`Current::view`] reads the wall clock at each call, so that an instance that
+/// was paused past an effective time or a confirmation acts rightly from its
+/// first step on, before any of its own tasks has run.
+pub struct Current {
+    known: RefCell<Option<Known>>,
+    timing: Timing,
+    fixed: bool,
+    changed: Notify,
+}
 
 impl Current {
-    /// Starts with `document` at `version`, confirmed.
+    /// Configuration that never changes: `document` at `version`, confirmed.
     pub fn new(version: u64, document: Document) -> Current {
-        let view = View {
+        let snapshot = Snapshot {
             version,
+            effective_ms: 0,
             document: Rc::new(document),
-            unconfirmed_since: None,
         };
-        Current(RefCell::new(Rc::new(view)))
+        Current {
+            known: RefCell::new(Some(Known::new(snapshot))),
+            timing: Timing::default(),
+            fixed: true,
+            changed: Notify::new(),
+        }
+    }
+
+    /// No configuration yet; a follower brings it.
+    pub fn starting(timing: Timing) -> Current {
+        Current {
+            known: RefCell::default(),
+            timing,
+            fixed: false,
+            changed: Notify::new(),
+        }
+    }
+
+    /// Timing of changes and readings.
+    pub fn timing(&self) -> &Timing {
+        &self.timing
+    }
+
+    /// True when no follower is needed.
+    pub fn is_fixed(&self) -> bool {
+        self.fixed
+    }
+
+    /// True once this instance has a configuration to act under.
+    pub fn is_ready(&self) -> bool {
+        self.known.borrow().is_some()
+    }
+
+    /// Signals a new version in force, or one that will be.
+    pub fn changed(&self) -> &Notify {
+        &self.changed
     }
 
-    /// Configuration in force now.
+    /// Configuration in force now. Before [`Current::is_ready`] this is the
+    /// default document at version 0, which nothing may act under.
     pub fn view(&self) -> Rc<View> {
-        self.0.borrow().clone()
+        let now_ms = clock::wall();
+        match self.known.borrow_mut().as_mut() {
+            Some(known) if self.fixed => known.view(None),
+            Some(known) => {
+                known.advance(now_ms);
+                let since = known.unconfirmed_since(now_ms, &self.timing);
+                known.view(since)
+            }
+            None => Rc::new(View {
+                version: 0,
+                document: Rc::default(),
+                unconfirmed_since: Some(0),
+            }),
+        }
+    }
+
+    /// Newest accepted version that this instance knows, in force or not; 0
+    /// without one.
+    pub fn newest(&self) -> u64 {
+        self.known.borrow().as_ref().map_or(0, Known::newest)
+    }
+
+    /// Newest version that this instance has heard of.
+    pub fn heard(&self) -> u64 {
+        self.known.borrow().as_ref().map_or(0, |it| it.heard)
+    }
+
+    /// Wall time at which the last reading began that showed no other version
+    /// than those this instance knows.
+    pub fn read_ms(&self) -> Option<u64> {
+        self.known.borrow().as_ref().and_then(|it| it.read_ms)
+    }
+
+    /// Change that comes into force next, if one is known.
+    pub fn next(&self) -> Option<Rc<Accepted>> {
+        let mut known = self.known.borrow_mut();
+        let known = known.as_mut()?;
+        known.advance(clock::wall());
+        known.next()
+    }
+
+    /// True when `instance` is a target that gets no new work: one that is
+    /// drained, or will be by a change that is accepted. Draining early does no
+    /// harm, so it does not wait for the effective time.
+    pub fn drains(&self, instance: &Instance) -> bool {
+        let drained = self.view().drains(instance);
+        drained || (self.known.borrow().as_ref()).is_some_and(|it| it.will_drain(instance))
+    }
+
+    /// Takes in accepted changes; those that don't follow the newest known
+    /// version are left out. False when one does not fit its digest.
+    pub fn learn(&self, changes: &[Accepted]) -> bool {
+        let mut known = self.known.borrow_mut();
+        let Some(known) = known.as_mut() else {
+            return true;
+        };
+        let before = known.newest();
+        let whole = changes.iter().all(|it| known.learn(it));
+        if known.newest() != before {
+            self.changed.notify();
+        }
+        whole
+    }
+
+    /// Notes that a reading begun at `read_ms` showed `version` as the newest.
+    pub fn observe(&self, version: u64, read_ms: Option<u64>) {
+        if let Some(known) = self.known.borrow_mut().as_mut() {
+            known.observe(version, read_ms);
+        }
+    }
+
+    /// Takes a whole configuration in place of one that is older.
+    pub fn install(&self, snapshot: Snapshot, changes: &[Accepted]) -> bool {
+        let mut fresh = Known::new(snapshot);
+        let whole = changes.iter().all(|it| fresh.learn(it));
+        let mut known = self.known.borrow_mut();
+        match known.as_mut() {
+            Some(known) if fresh.newest() <= known.newest() => return true,
+            Some(known) => known.replace(fresh),
+            None if whole => *known = Some(fresh),
+            None => return false,
+        }
+        self.changed.notify();
+        whole
+    }
+
+    /// What a peer needs that knows versions up to `after`.
+    pub fn update(&self, after: u64) -> Option<Update> {
+        let mut known = self.known.borrow_mut();
+        let known = known.as_mut()?;
+        known.advance(clock::wall());
+        Some(known.update(after))
     }
 }
--- a/crates/bluebellpath/src/config/document.rs
+++ b/crates/bluebellpath/src/config/document.rs
@@ -2,35 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Team that submits jobs.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Team {
-    /// Name, as submissions give it.
-    pub name: String,
-    /// Share of the slots against other teams.
-    pub weight: u32,
-    /// Task starts a second that the team may sustain.
-    pub sustained_per_s: u32,
-    /// Task starts that the team may make at once.
-    pub burst: u32,
-}
-
-/// Policies that go together.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Preset {
-    /// Name.
-    pub name: String,
-    /// Tries for a task that certainly never started.
-    pub max_attempts: u32,
-    /// Longest queue, in tasks.
-    pub max_waiting: u32,
-    /// Time that a planned stop may take, in milliseconds.
-    pub drain_ms: u64,
-}
+use super::{Drain, Key, Kind, Limit, Preset, Retention, Team};
 
-/// Whole configuration.
+/// Whole configuration. Its lists are sorted by name, so that equal contents
+/// have equal digests.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Document {
@@ -40,6 +15,21 @@
     pub presets: Vec<Preset>,
     /// All teams.
     pub teams: Vec<Team>,
+    /// Kinds of task with limits; other kinds are taken as declared.
+    #[serde(default)]
+    pub kinds: Vec<Kind>,
+    /// Limits of targets, by failure domain.
+    #[serde(default)]
+    pub limits: Vec<Limit>,
+    /// Targets that get no new work.
+    #[serde(default)]
+    pub drains: Vec<Drain>,
+    /// Keys of operators and teams.
+    #[serde(default)]
+    pub keys: Vec<Key>,
+    /// How long records are kept.
+    #[serde(default)]
+    pub retention: Retention,
 }
 
 impl Default for Document {
@@ -54,9 +44,9 @@
         Document {
             preset: "ordinary".to_owned(),
             presets: vec![
+                preset("maintenance", 3, 100_000, 60_000),
                 preset("ordinary", 3, 100_000, 10_000),
                 preset("peak", 2, 50_000, 10_000),
-                preset("maintenance", 3, 100_000, 60_000),
             ],
             teams: vec![Team {
                 name: "default".to_owned(),
@@ -64,6 +54,47 @@
                 sustained_per_s: 100_000,
                 burst: 100_000,
             }],
+            kinds: Vec::new(),
+            limits: Vec::new(),
+            drains: Vec::new(),
+            keys: Vec::new(),
+            retention: Retention::default(),
         }
     }
 }
+
+impl Document {
+    /// Same content with its lists sorted.
+    pub fn sorted(mut self) -> Document {
+        self.presets.sort_by(|a, b| a.name.cmp(&b.name));
+        self.teams.sort_by(|a, b| a.name.cmp(&b.name));
+        self.kinds.sort_by(|a, b| a.name.cmp(&b.name));
+        self.limits.sort_by_key(|it| it.domain);
+        self.drains.sort();
+        self.keys.sort_by(|a, b| a.name.cmp(&b.name));
+        self
+    }
+
+    /// Digest of the content, in hexadecimal.
+    pub fn digest(&self) -> String {
+        let bytes = postcard::to_stdvec(self).unwrap_or_default();
+        blake3::hash(&bytes).to_hex().to_string()
+    }
+
+    /// Preset in force.
+    pub fn preset(&self) -> Option<&Preset> {
+        self.presets.iter().find(|it| it.name == self.preset)
+    }
+
+    /// Team of the given name.
+    pub fn team(&self, name: &str) -> Option<&Team> {
+        let place = self.teams.binary_search_by(|it| it.name.as_str().cmp(name));
+        place.ok().map(|it| &self.teams[it])
+    }
+
+    /// Kind of the given name.
+    pub fn kind(&self, name: &str) -> Option<&Kind> {
+        let place = self.kinds.binary_search_by(|it| it.name.as_str().cmp(name));
+        place.ok().map(|it| &self.kinds[it])
+    }
+}
--- /dev/null
+++ b/crates/bluebellpath/src/config/drain.rs
@@ -0,0 +1,41 @@
+//! What gets no new work.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    platform::{Instance, Role},
+    settings::Domain,
+};
+
+/// Targets that get no new work.
+#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum Drain {
+    /// One target.
+    #[display("target {_0}")]
+    Target(String),
+    /// All targets of a rack.
+    #[display("rack {rack} of domain {domain}")]
+    Rack {
+        /// Failure domain.
+        domain: Domain,
+        /// Rack within it.
+        rack: u32,
+    },
+    /// All targets of a failure domain.
+    #[display("domain {_0}")]
+    Domain(Domain),
+}
+
+impl Drain {
+    /// True when `instance` is a target that this names.
+    pub fn names(&self, instance: &Instance) -> bool {
+        let named = match self {
+            Drain::Target(name) => *name == instance.name,
+            Drain::Rack { domain, rack } => *domain == instance.domain && *rack == instance.rack,
+            Drain::Domain(domain) => *domain == instance.domain,
+        };
+        named && instance.role == Role::Target
+    }
+}
--- /dev/null
+++ b/crates/bluebellpath/src/config/store.rs
@@ -0,0 +1,260 @@
+//! The configuration's rows in the table.
+
+use std::rc::Rc;
+
+use serde::{Serialize, de::DeserializeOwned};
+
+use super::{Accepted, Document, Head, Reading, Snapshot};
+use crate::platform::{Commit, Error, Expect, Fault, Row, Step, Table, Write};
+
+/// Changes between two snapshots.
+pub const SNAPSHOT_INTERVAL: u64 = 256;
+
+/// Changes that are asked for together with the head.
+const AHEAD: u64 = 4;
+
+/// Operation of the first version.
+const FIRST: &str = "first-start";
+
+const HEAD: &str = "config/head";
+const CHANGES: &str = "config/change/";
+
+/// The configuration's rows in the table. Each call makes one or two requests.
+#[derive(Clone)]
+pub struct Store(Rc<dyn Table>);
+
+/// Head with the changes that follow a known version, as far as asked for.
+pub struct Ahead {
+    /// Head; `None` on an empty table.
+    pub reading: Option<Reading>,
+    /// Changes that follow the known version, by version.
+    pub changes: Vec<Accepted>,
+}
+
+impl Store {
+    /// Rows in `table`.
+    pub fn new(table: Rc<dyn Table>) -> Store {
+        Store(table)
+    }
+
+    /// Reads the head and the next few changes after `known` in one request.
+    pub async fn ahead(&self, known: u64) -> Result<Ahead, Error> {
+        let changes = (known + 1..=known + AHEAD).map(change_key);
+        let keys: Vec<String> = [HEAD.to_owned()].into_iter().chain(changes).collect();
+        let mut rows = self.0.read(&keys).await?.into_iter();
+        let reading = rows.next().flatten().map(|it| reading(&it)).transpose()?;
+        let changes = rows.map_while(|it| it.map(|it| parse(&it)));
+        Ok(Ahead {
+            reading,
+            changes: changes.collect::<Result<_, Error>>()?,
+        })
+    }
+
+    /// Reads the head and the version of `operation`, if it made one.
+    pub async fn operation(
+        &self,
+        operation: &str,
+    ) -> Result<(Option<Reading>, Option<u64>), Error> {
+        let keys = [HEAD.to_owned(), operation_key(operation)];
+        let mut rows = self.0.read(&keys).await?.into_iter();
+        let reading = rows.next().flatten().map(|it| reading(&it)).transpose()?;
+        let version = rows.next().flatten().map(|it| parse(&it)).transpose()?;
+        Ok((reading, version))
+    }
+
+    /// Reads the change that made `version`.
+    pub async fn change(&self, version: u64) -> Result<Option<Accepted>, Error> {
+        let mut rows = self.0.read(&[change_key(version)]).await?;
+        rows.pop().flatten().map(|it| parse(&it)).transpose()
+    }
+
+    /// Reads up to `limit` changes that follow version `after`.
+    pub async fn history(&self, after: u64, limit: usize) -> Result<Vec<Accepted>, Error> {
+        let items = self
+            .0
+            .scan(CHANGES, Some(&change_key(after)), limit)
+            .await?;
+        items.iter().map(|it| parse(&it.row)).collect()
+    }
+
+    /// Reads the snapshot of `version`.
+    pub async fn snapshot(&self, version: u64) -> Result<Option<Snapshot>, Error> {
+        let mut rows = self.0.read(&[snapshot_key(version)]).await?;
+        rows.pop().flatten().map(|it| parse(&it)).transpose()
+    }
+
+    /// Newest snapshot that is in force at `now_ms`, to which the changes after
+    /// it lead on.
+    pub async fn start(&self, newest: u64, now_ms: u64) -> Result<Option<Snapshot>, Error> {
+        let before = newest.saturating_sub(SNAPSHOT_INTERVAL).max(1);
+        let keys = [newest, before].map(|it| [snapshot_key(it), change_key(it)]);
+        let rows = self.0.read(keys.as_flattened()).await?;
+        for pair in rows.chunks(2) {
+            let [Some(snapshot), Some(accepted)] = pair else {
+                continue;
+            };
+            let (snapshot, accepted): (Snapshot, Accepted) = (parse(snapshot)?, parse(accepted)?);
+            let effective_ms = accepted.effective_ms.unwrap_or(u64::MAX);
+            if effective_ms <= now_ms || snapshot.version == 1 {
+                return Ok(Some(Snapshot {
+                    effective_ms,
+                    ..snapshot
+                }));
+            }
+        }
+        Ok(None)
+    }
+
+    /// Content under `version`, from the snapshot before it.
+    pub async fn document(&self, version: u64) -> Result<Option<Document>, Error> {
+        let start = (version / SNAPSHOT_INTERVAL * SNAPSHOT_INTERVAL).max(1);
+        let Some(snapshot) = self.snapshot(start).await? else {
+            return Ok(None);
+        };
+        let changes = self.history(start, (version - start) as usize).await?;
+        if changes.len() as u64 != version - start {
+            return Ok(None);
+        }
+        let mut document = (*snapshot.document).clone();
+        let all = changes.iter().flat_map(|it| &it.changes);
+        all.for_each(|it| it.apply(&mut document));
+        Ok(Some(document))
+    }
+
+    /// Writes the first version unless there is one.
+    pub async fn found(&self, document: &Document, now_ms: u64) -> Result<Commit, Error> {
+        self.0.commit(&first(document, now_ms)).await
+    }
+
+    /// Moves the head from `reading` to `accepted`, which has no effective time.
+    pub async fn propose(
+        &self,
+        reading: &Reading,
+        accepted: &Accepted,
+        document: &Document,
+    ) -> Result<Commit, Error> {
+        let before = &reading.head;
+        let snapshot = accepted.version.is_multiple_of(SNAPSHOT_INTERVAL);
+        let head = Head {
+            version: accepted.version,
+            operation: accepted.operation.clone(),
+            effective_ms: None,
+            floor_ms: before.effective_ms.unwrap_or(before.floor_ms),
+            digest: accepted.digest.clone(),
+            snapshot: if snapshot {
+                accepted.version
+            } else {
+                before.snapshot
+            },
+        };
+        let operation = operation_key(&accepted.operation);
+        let mut writes = vec![
+            write(HEAD.to_owned(), Expect::Version(reading.row), &head),
+            write(change_key(accepted.version), Expect::Absent, accepted),
+            write(operation, Expect::Absent, &accepted.version),
+        ];
+        if snapshot {
+            let value = Snapshot {
+                version: accepted.version,
+                // Replaced by that of the change's own row when it is read.
+                effective_ms: u64::MAX,
+                document: Rc::new(document.clone()),
+            };
+            writes.push(write(snapshot_key(accepted.version), Expect::Any, &value));
+        }
+        self.0.commit(&writes).await
+    }
+
+    /// Gives the proposed head its effective time; returns it with the change.
+    pub async fn date(
+        &self,
+        reading: &Reading,
+        accepted: &Accepted,
+        effective_ms: u64,
+    ) -> Result<(Commit, Accepted), Error> {
+        let effective_ms = Some(effective_ms.max(reading.head.floor_ms));
+        let head = Head {
+            effective_ms,
+            ..reading.head.clone()
+        };
+        let accepted = Accepted {
+            effective_ms,
+            ..accepted.clone()
+        };
+        let writes = [
+            write(HEAD.to_owned(), Expect::Version(reading.row), &head),
+            write(change_key(accepted.version), Expect::Any, &accepted),
+        ];
+        Ok((self.0.commit(&writes).await?, accepted))
+    }
+}
+
+/// Writes of the first version, in force at once: nothing was before it.
+pub fn first(document: &Document, now_ms: u64) -> Vec<Write> {
+    let digest = document.digest();
+    let head = Head {
+        version: 1,
+        operation: FIRST.to_owned(),
+        effective_ms: Some(now_ms),
+        floor_ms: now_ms,
+        digest: digest.clone(),
+        snapshot: 1,
+    };
+    let accepted = Accepted {
+        version: 1,
+        operation: FIRST.to_owned(),
+        author: "bluebellpath".to_owned(),
+        reason: "first start on an empty table".to_owned(),
+        effective_ms: Some(now_ms),
+        digest,
+        changes: Vec::new(),
+    };
+    let snapshot = Snapshot {
+        version: 1,
+        effective_ms: now_ms,
+        document: Rc::new(document.clone()),
+    };
+    vec![
+        write(HEAD.to_owned(), Expect::Absent, &head),
+        write(change_key(1), Expect::Absent, &accepted),
+        write(operation_key(FIRST), Expect::Absent, &1u64),
+        write(snapshot_key(1), Expect::Absent, &snapshot),
+    ]
+}
+
+fn change_key(version: u64) -> String {
+    format!("{CHANGES}{version:012}")
+}
+
+fn operation_key(operation: &str) -> String {
+    format!("config/operation/{operation}")
+}
+
+fn snapshot_key(version: u64) -> String {
+    format!("config/snapshot/{version:012}")
+}
+
+fn write(key: String, expect: Expect, value: &impl Serialize) -> Write {
+    let value = serde_json::to_vec(value).unwrap_or_default();
+    Write {
+        key,
+        expect,
+        value: Some(value),
+    }
+}
+
+fn reading(row: &Row) -> Result<Reading, Error> {
+    Ok(Reading {
+        head: parse(row)?,
+        row: row.version,
+    })
+}
+
+fn parse<T: DeserializeOwned>(row: &Row) -> Result<T, Error> {
+    serde_json::from_slice(&row.value).map_err(|error| Error {
+        step: Step::Read,
+        peer: "configuration".to_owned(),
+        fault: Fault::Malformed,
+        detail: error.to_string(),
+    })
+}
--- a/crates/bluebellpath/src/daemon/mod.rs
+++ b/crates/bluebellpath/src/daemon/mod.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     caller::Api,
-    config::{Current, Document},
+    config::{Current, Timing},
     entry::{Config, Entry, Env},
     http::{Client, ClientConfig, Limits, Server},
     job::Incarnation,
@@ -57,7 +57,7 @@
         instances: platform,
         targets: Rc::new(target::Http::new(client)),
         link: Rc::new(Offline),
-        config: Rc::new(Current::new(1, Document::default())),
+        config: Rc::new(Current::starting(Timing::default())),
         log: log.clone(),
     };
     let config = Config {
--- /dev/null
+++ b/crates/bluebellpath/src/entry/drains.rs
@@ -0,0 +1,41 @@
+//! Drains and limits of targets, as the configuration changes.
+
+use std::rc::Rc;
+
+use bluebellpath_runtime::clock;
+use futures_util::future::{Either, select};
+
+use super::{pump, state::State};
+use crate::platform::Instance;
+
+/// Looks at the targets again at each change of the configuration, when it is
+/// known and when it takes effect, whether or not the instance list answers.
+pub(super) async fn follow(state: Rc<State>) {
+    let config = state.env.config.clone();
+    loop {
+        let changed = config.changed().notified();
+        refresh(&state);
+        let next = config.next().and_then(|it| it.effective_ms);
+        match next {
+            Some(effective_ms) => {
+                let wait_ms = effective_ms.saturating_sub(clock::wall());
+                let due = clock::sleep(std::time::Duration::from_millis(wait_ms));
+                if let Either::Left(_) = select(std::pin::pin!(changed), due).await {}
+            }
+            None => changed.await,
+        }
+    }
+}
+
+fn refresh(state: &State) {
+    let mut targets: Vec<Instance> = state
+        .targets
+        .borrow()
+        .values()
+        .map(|it| (**it).clone())
+        .collect();
+    targets.sort_by(|a, b| a.name.cmp(&b.name));
+    if !targets.is_empty() {
+        pump::set_targets(state, targets);
+    }
+}
--- a/crates/bluebellpath/src/entry/mod.rs
+++ b/crates/bluebellpath/src/entry/mod.rs
@@ -11,6 +11,7 @@
 */
 
 mod config;
+mod drains;
 mod env;
 mod job;
 mod jobs;
@@ -29,6 +30,7 @@
 
 use self::state::State;
 use crate::{
+    config::{Current, Follower},
     job::{Answer, Id, Submission, Ticket},
     peer::Membership,
 };
@@ -50,12 +52,41 @@
         drop(bluebellpath_runtime::spawn(
             state.membership.clone().run(state),
         ));
+        drop(bluebellpath_runtime::spawn(self.follower().run()));
+        drop(bluebellpath_runtime::spawn(drains::follow(self.0.clone())));
         drop(bluebellpath_runtime::spawn(pump::run(self.0.clone())));
         drop(bluebellpath_runtime::spawn(pump::follow_targets(
             self.0.clone(),
         )));
     }
 
+    fn follower(&self) -> Rc<Follower> {
+        let Env {
+            config,
+            table,
+            link,
+            log,
+            ..
+        } = self.0.env.clone();
+        Rc::new(Follower::new(
+            config,
+            table,
+            self.0.membership.clone(),
+            link,
+            log,
+        ))
+    }
+
+    /// Configuration that this instance acts under.
+    pub fn config(&self) -> &Rc<Current> {
+        &self.0.env.config
+    }
+
+    /// What this instance meets.
+    pub fn env(&self) -> &Env {
+        &self.0.env
+    }
+
     /// Peers of this instance.
     pub fn membership(&self) -> &Rc<Membership> {
         &self.0.membership
--- a/crates/bluebellpath/src/entry/pump.rs
+++ b/crates/bluebellpath/src/entry/pump.rs
@@ -228,17 +228,20 @@
     }
 }
 
-fn set_targets(state: &State, instances: Vec<Instance>) {
+/// Gives the dispatcher the targets of this domain.
+pub(super) fn set_targets(state: &State, instances: Vec<Instance>) {
+    let view = state.env.config.view();
     let ours = |it: &Instance| it.role == Role::Target && it.domain == state.config.domain;
     let mut listed = std::collections::HashMap::new();
     for instance in instances.into_iter().filter(ours) {
         let id = dispatch::TargetId(state.target_names.number(&instance.name));
         let target = dispatch::Target {
             id,
-            slots: instance.slots,
-            credit: instance.slots.min(instance.connections),
+            slots: view.slots(&instance),
+            credit: view.slots(&instance).min(view.connections(&instance)),
             rack: instance.rack,
-            leaving: instance.state == platform::State::Leaving,
+            leaving: instance.state == platform::State::Leaving
+                || state.env.config.drains(&instance),
         };
         state.dispatcher.borrow_mut().set_target(target);
         listed.insert(id, Rc::new(instance));
--- a/crates/bluebellpath/src/entry/refusal.rs
+++ b/crates/bluebellpath/src/entry/refusal.rs
@@ -19,6 +19,12 @@
         /// Job id.
         id: Id,
     },
+    /// This instance has no configuration to act under yet.
+    #[display("job {id} was not run: this instance has no configuration yet")]
+    Starting {
+        /// Job id.
+        id: Id,
+    },
     /// The submission breaks a limit.
     #[display("{field}: found {found}, allowed {allowed}")]
     Invalid {
--- a/crates/bluebellpath/src/entry/serve.rs
+++ b/crates/bluebellpath/src/entry/serve.rs
@@ -13,6 +13,10 @@
         let entry = self.0.clone();
         Box::pin(async move {
             let answer = match request {
+                Request::Config { after } => {
+                    let update = entry.0.env.config.update(after);
+                    return update.map_or(Reply::Missing, |it| Reply::Config(Box::new(it)));
+                }
                 Request::Submit { id, submission } => {
                     let Ok(answer) = entry.submit(id, submission).await else {
                         return Reply::Mismatch;
--- a/crates/bluebellpath/src/entry/state.rs
+++ b/crates/bluebellpath/src/entry/state.rs
@@ -82,8 +82,13 @@
 impl Source for State {
     fn fill(&self, heartbeat: &mut Heartbeat) {
         let dispatcher = self.dispatcher.borrow();
-        heartbeat.phase = Phase::Serving;
-        heartbeat.config_version = self.env.config.view().version;
+        let config = &self.env.config;
+        heartbeat.phase = match config.is_ready() {
+            true => Phase::Serving,
+            false => Phase::Starting,
+        };
+        heartbeat.config_version = config.newest();
+        heartbeat.config_read_ms = config.read_ms();
         heartbeat.load = Load {
             waiting: dispatcher.waiting() as u32,
             running: dispatcher.running() as u32,
--- a/crates/bluebellpath/src/entry/submit.rs
+++ b/crates/bluebellpath/src/entry/submit.rs
@@ -29,6 +29,9 @@
         }
         return Ok(job.answered().await);
     }
+    if !state.env.config.is_ready() {
+        return Err(Refusal::Starting { id });
+    }
     if state.jobs.len() >= state.config.max_jobs {
         return Err(Refusal::Full { id });
     }
--- a/crates/bluebellpath/src/peer/heartbeat.rs
+++ b/crates/bluebellpath/src/peer/heartbeat.rs
@@ -42,10 +42,11 @@
     pub sequence: u64,
     /// Where the sender stands in its life.
     pub phase: Phase,
-    /// Configuration version that the sender acts under.
+    /// Newest configuration version that the sender knows, in force or not; 0
+    /// without one.
     pub config_version: u64,
-    /// Wall time of the sender's last reading of the configuration's head, in
-    /// milliseconds since the epoch.
+    /// Wall time at which the last reading of the configuration's head began
+    /// that showed no newer version, in milliseconds since the epoch.
     pub config_read_ms: Option<u64>,
     /// Work at the sender.
     pub load: Load,
--- a/crates/bluebellpath/src/peer/message.rs
+++ b/crates/bluebellpath/src/peer/message.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::config::Update;
 use crate::job::{Answer, Id, Submission};
 
 /// Request from one entry instance to another.
@@ -24,6 +25,11 @@
         /// Job id.
         id: Id,
     },
+    /// Send what follows a configuration version.
+    Config {
+        /// Newest version that the sender knows, 0 without one.
+        after: u64,
+    },
 }
 
 /// Reply to a [`Request`].
@@ -37,4 +43,6 @@
     Mismatch,
     /// This instance does not own the id.
     NotOwner,
+    /// What follows the configuration version.
+    Config(Box<Update>),
 }
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -14,7 +14,7 @@
 };
 
 use bluebellpath::{
-    config::{Current, Document},
+    config::{self, Current, Document, Timing},
     entry::{Config, Entry, Env},
     job::Incarnation,
     log,
@@ -40,6 +40,10 @@
     pub rack: u16,
     /// One-way time between instances.
     pub one_way: Duration,
+    /// Puts the default configuration into the table before the first start.
+    pub seeded: bool,
+    /// Timing of the configuration.
+    pub timing: Timing,
 }
 
 impl Default for Layout {
@@ -53,6 +57,8 @@
             slots: 8,
             rack: 6,
             one_way: Duration::from_micros(500),
+            seeded: true,
+            timing: Timing::default(),
         }
     }
 }
@@ -124,6 +130,10 @@
             layout,
             starts: Cell::new(0),
         };
+        if layout.seeded {
+            let writes = config::first(&Document::default(), clock::wall());
+            fleet.table.apply(&writes);
+        }
         for instance in instances.iter().filter(|it| it.role == Role::Entry) {
             let cut = Rc::new(Cell::new(false));
             let running = fleet.run(instance, &cut);
@@ -180,7 +190,7 @@
             instances: Rc::new(Gate::new(self.instances.clone(), cut.clone())),
             targets: Rc::new(self.targets.clone()),
             link: Rc::new(self.network.node(instance.address, scope.clone())),
-            config: Rc::new(Current::new(1, Document::default())),
+            config: Rc::new(Current::starting(self.layout.timing)),
             log: log::discard(),
         };
         let incarnation = Incarnation::new(clock::wall(), self.starts.get());
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -38,7 +38,8 @@
         self.len() == 0
     }
 
-    fn apply(&self, writes: &[Write]) -> Commit {
+    /// Makes all of `writes` or none, at once and without faults.
+    pub fn apply(&self, writes: &[Write]) -> Commit {
         let mut rows = self.0.rows.borrow_mut();
         let conflicts: Vec<Conflict> = writes
             .iter()
