--- a/crates/bluebellpath/src/config/current.rs
+++ b/crates/bluebellpath/src/config/current.rs
@@ -57,6 +57,15 @@
 
     /// True once this instance has a configuration to act under.
     pub fn is_ready(&self) -> bool {
+        let known = self.known.borrow();
+        known
+            .as_ref()
+            .is_some_and(|it| it.acts_from_ms <= clock::wall())
+    }
+
+    /// True once this instance has a configuration, whether or not it may act
+    /// under it already.
+    pub(super) fn is_loaded(&self) -> bool {
         self.known.borrow().is_some()
     }
 
@@ -147,7 +156,10 @@
         match known.as_mut() {
             Some(known) if fresh.newest() <= known.newest() => return true,
             Some(known) => known.replace(fresh),
-            None if whole => *known = Some(fresh),
+            None if whole => {
+                fresh.hold_back(clock::wall(), &self.timing);
+                *known = Some(fresh);
+            }
             None => return false,
         }
         self.changed.notify();
--- a/crates/bluebellpath/src/config/follower.rs
+++ b/crates/bluebellpath/src/config/follower.rs
@@ -109,7 +109,7 @@
         let Some(reading) = ahead.reading else {
             return self.found().await;
         };
-        if !self.current.is_ready() {
+        if !self.current.is_loaded() {
             self.load(&reading).await?;
         }
         self.learn(&ahead.changes);
@@ -193,7 +193,7 @@
             for peer in self.membership.peers() {
                 self.take(&peer).await;
             }
-            if !self.current.is_ready() {
+            if !self.current.is_loaded() {
                 self.bootstrap().await;
             }
             changed.await;
@@ -202,7 +202,7 @@
 
     async fn take(&self, peer: &Peer) {
         let heartbeat = &peer.heartbeat;
-        if !self.current.is_ready() || heartbeat.config_version == 0 {
+        if !self.current.is_loaded() || heartbeat.config_version == 0 {
             return;
         }
         if heartbeat.config_version > self.current.newest()
@@ -254,7 +254,7 @@
             }
         }
         // The table may have answered meanwhile.
-        let Some(best) = best.filter(|_| !self.current.is_ready()) else {
+        let Some(best) = best.filter(|_| !self.current.is_loaded()) else {
             return;
         };
         let until = self
--- a/crates/bluebellpath/src/config/known.rs
+++ b/crates/bluebellpath/src/config/known.rs
@@ -25,6 +25,8 @@
     view: Option<Rc<View>>,
     pub(super) read_ms: Option<u64>,
     pub(super) heard: u64,
+    /// Wall time from which this instance may act.
+    pub(super) acts_from_ms: u64,
 }
 
 impl Known {
@@ -37,9 +39,18 @@
             recent: VecDeque::new(),
             view: None,
             read_ms: None,
+            acts_from_ms: 0,
         }
     }
 
+    /// Holds a fresh instance back while a version is about to take effect: an
+    /// earlier run of it, whose clock was ahead, may have acted under that one.
+    pub(super) fn hold_back(&mut self, now_ms: u64, timing: &Timing) {
+        let bound = now_ms + 2 * timing.skew_ms();
+        let near = self.pending.iter().map(|it| it.effective_ms);
+        self.acts_from_ms = near.filter(|it| *it <= bound).max().unwrap_or(0);
+    }
+
     pub(super) fn newest(&self) -> u64 {
         let last = self.pending.back().map(|it| it.accepted.version);
         last.unwrap_or(self.in_force.version)
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -11,6 +11,9 @@
     pub down: Cell<bool>,
     /// Answers that get lost after the request took effect.
     pub lose_answers: Cell<u32>,
+    /// Answers that are turned into refusals after the request took effect,
+    /// which no platform may do: for tests that prove a checker.
+    pub deny_answers: Cell<u32>,
     /// Time that a read takes.
     pub read: Cell<Duration>,
     /// Time that a write takes.
@@ -25,6 +28,7 @@
         Faults {
             down: Cell::new(false),
             lose_answers: Cell::new(0),
+            deny_answers: Cell::new(0),
             read: Cell::new(Duration::from_millis(1)),
             write: Cell::new(Duration::from_millis(5)),
             requests: Cell::new(0),
@@ -51,6 +55,11 @@
             self.lose_answers.set(lose - 1);
             return Err(error(step, Fault::Unknown, "answer lost"));
         }
+        let deny = self.deny_answers.get();
+        if deny > 0 && step == Step::Commit {
+            self.deny_answers.set(deny - 1);
+            return Err(error(step, Fault::Refused, "answer denied"));
+        }
         Ok(answer)
     }
 
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -33,6 +33,22 @@
         self.0.rows.borrow().len()
     }
 
+    /// Row under `key`, at once and without faults.
+    pub fn get(&self, key: &str) -> Option<Row> {
+        self.0.rows.borrow().get(key).cloned()
+    }
+
+    /// All rows, for [`Table::restore`].
+    pub fn save(&self) -> BTreeMap<String, Row> {
+        self.0.rows.borrow().clone()
+    }
+
+    /// Puts back what [`Table::save`] gave, which no platform may do: for tests
+    /// that prove a checker.
+    pub fn restore(&self, rows: BTreeMap<String, Row>) {
+        *self.0.rows.borrow_mut() = rows;
+    }
+
     /// True without rows.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
