Test the configuration's document, starts and drains

Cause: document, cold starts, restarts without the table and drains had no tests of their own. Change: tables of cases; slower and later writes in the sessions. Conclusion: drains hold within 3 s of acceptance, with and without the instance list.

--- /dev/null
+++ b/crates/bluebellpath/tests/config.rs
@@ -0,0 +1,496 @@
+//! The configuration document, its changes, starts and drains.
+
+use std::{rc::Rc, time::Duration};
+
+use bluebellpath::{
+    config::{
+        Change, Document, Drain, Key, Kind, Limit, Operation, Proposer, Refusal, Role, Store, Team,
+    },
+    entry::{Entry, Refusal as Refused},
+    job::{Id, Spec, Submission},
+    settings::Domain,
+};
+use bluebellpath_runtime::{clock, runtime};
+use bluebellpath_standin::{Fleet, Layout};
+
+/// Time in which entry instances read the table and the instance list.
+const SETTLE: Duration = Duration::from_millis(20);
+
+/// Time from acceptance within which a change is in force.
+const IN_FORCE: Duration = Duration::from_secs(4);
+
+/// Time within which a drained target gets no new work any more.
+const DRAINED: Duration = Duration::from_secs(3);
+
+fn team(name: &str, weight: u32) -> Team {
+    Team {
+        name: name.to_owned(),
+        weight,
+        sustained_per_s: 100,
+        burst: 100,
+    }
+}
+
+struct Check {
+    name: &'static str,
+    changes: Vec<Change>,
+    faults: &'static [&'static str],
+}
+
+fn checks() -> Vec<Check> {
+    let malformed = Key {
+        name: "amira".to_owned(),
+        role: Role::Operator,
+        salt: "12".to_owned(),
+        hash: String::new(),
+    };
+    vec![
+        Check {
+            name: "nothing wrong",
+            changes: vec![Change::SetTeam(team("kiln-crew", 2))],
+            faults: &[],
+        },
+        Check {
+            name: "unknown preset",
+            changes: vec![Change::SwitchPreset("paek".to_owned())],
+            faults: &["preset: found \"paek\", allowed one of 3 known names (nearest: peak)"],
+        },
+        Check {
+            name: "preset in force removed",
+            changes: vec![Change::RemovePreset("ordinary".to_owned())],
+            faults: &["preset: found \"ordinary\", allowed one of 2 known names"],
+        },
+        Check {
+            name: "several faults at once",
+            changes: vec![
+                Change::SetTeam(team("a b", 0)),
+                Change::RemoveTeam("default".to_owned()),
+                Change::SetLimit(Limit {
+                    domain: Domain::new(1),
+                    slots: 0,
+                    connections: 1,
+                }),
+            ],
+            faults: &[
+                "teams[a b].name: found \"a b\", allowed 1 to 64 letters, digits, '-', '_' and '.'",
+                "teams[a b].weight: found 0, allowed 1 to 1000",
+                "limits[domain 1].slots: found 0, allowed 1 to 100000",
+            ],
+        },
+        Check {
+            name: "malformed key and nobody to rule",
+            changes: vec![Change::SetKey(malformed)],
+            faults: &[
+                "keys[amira]: found a malformed salt or hash, allowed 32 bytes in hexadecimal each",
+                "keys: found no administrator, allowed at least one administrator",
+            ],
+        },
+    ]
+}
+
+#[test]
+fn a_check_reports_all_faults_at_once() {
+    for check in checks() {
+        let mut document = Document::default();
+        check.changes.iter().for_each(|it| it.apply(&mut document));
+        let faults: Vec<String> = document.check().iter().map(|it| it.to_string()).collect();
+        assert_eq!(faults, check.faults, "{}", check.name);
+    }
+}
+
+#[test]
+fn changes_between_two_documents_lead_from_one_to_the_other() {
+    let mut document = Document::default();
+    let (key, _) = Key::generate("amira", Role::Administrator);
+    let changes = [
+        Change::SetTeam(team("b", 1)),
+        Change::SetTeam(team("a", 1)),
+        Change::RemoveTeam("default".to_owned()),
+        Change::SwitchPreset("peak".to_owned()),
+        Change::RemovePreset("ordinary".to_owned()),
+        Change::Drain(Drain::Rack {
+            domain: Domain::new(0),
+            rack: 3,
+        }),
+        Change::SetKind(Kind {
+            name: "recipe".to_owned(),
+            idempotent: false,
+            max_size: 2,
+            max_run_ms: 900,
+        }),
+        Change::SetKey(key),
+    ];
+    let mut steps = vec![document.clone()];
+    for change in &changes {
+        change.apply(&mut document);
+        steps.push(document.clone());
+    }
+    for old in &steps {
+        for new in &steps {
+            let mut copy = old.clone();
+            let between = Change::between(old, new);
+            between.iter().for_each(|it| it.apply(&mut copy));
+            assert_eq!(copy, *new);
+            assert_eq!(between.is_empty(), old == new);
+        }
+    }
+}
+
+#[test]
+fn a_key_admits_its_own_secret_only() {
+    let (key, secret) = Key::generate("amira", Role::Operator);
+    let (other, _) = Key::generate("amira", Role::Operator);
+    assert!(key.admits(&secret));
+    assert!(!key.admits(&secret[1..]) && !key.admits("") && !other.admits(&secret));
+    let text = serde_json::to_string(&key).expect("keys are JSON");
+    assert!(!text.contains(&secret));
+}
+
+fn layout(domains: u16, entries: u16) -> Layout {
+    Layout {
+        domains,
+        entries,
+        targets: 2,
+        ..Layout::default()
+    }
+}
+
+fn proposer(entry: &Entry) -> Proposer {
+    Proposer::new(entry.env().table.clone(), entry.config().clone())
+}
+
+fn operation(id: &str, base: u64, change: Change) -> Operation {
+    Operation {
+        id: id.to_owned(),
+        author: "amira".to_owned(),
+        reason: "test".to_owned(),
+        base,
+        changes: vec![change],
+    }
+}
+
+fn submission(tasks: usize) -> Submission {
+    let task = Spec {
+        caller: "crew-1".to_owned(),
+        kind: "quote".to_owned(),
+        payload: "{\"run_ms\": 20}".to_owned(),
+        run_time_ms: None,
+        size: 1,
+        idempotent: false,
+    };
+    Submission {
+        team: "default".to_owned(),
+        deadline_ms: 2_000,
+        tasks: vec![task; tasks],
+    }
+}
+
+#[test]
+fn the_loser_of_a_race_learns_who_won_and_an_operation_acts_once() {
+    runtime::paused(async {
+        let fleet = Fleet::start(layout(1, 2));
+        clock::sleep(SETTLE).await;
+        let (first, second) = (fleet.members[0].entry(), fleet.members[1].entry());
+        let switch = operation("one", 1, Change::SwitchPreset("peak".to_owned()));
+        let accepted = proposer(&first)
+            .propose(&switch)
+            .await
+            .expect("nobody else");
+        assert_eq!(accepted.version, 2);
+        let again = proposer(&second).propose(&switch).await;
+        assert_eq!(again.expect("the same operation"), accepted);
+        let late = operation("two", 1, Change::SetTeam(team("a", 1)));
+        let lost = proposer(&second).propose(&late).await;
+        let Err(Refusal::Lost { base: 1, since }) = lost else {
+            panic!("{lost:?}");
+        };
+        assert_eq!(since, [accepted]);
+        let same = operation("three", 2, Change::SwitchPreset("peak".to_owned()));
+        let unchanged = proposer(&second).propose(&same).await;
+        assert!(matches!(unchanged, Err(Refusal::Unchanged { version: 2 })));
+    });
+}
+
+#[test]
+fn a_change_takes_effect_at_its_time_and_not_before() {
+    runtime::paused(async {
+        let fleet = Fleet::start(layout(2, 2));
+        clock::sleep(Duration::from_secs(2)).await;
+        let entry = fleet.members[0].entry();
+        let switch = operation("one", 1, Change::SwitchPreset("peak".to_owned()));
+        let accepted = proposer(&entry)
+            .propose(&switch)
+            .await
+            .expect("nobody else");
+        let effective_ms = accepted.effective_ms.expect("accepted changes are dated");
+        let wait_ms = effective_ms - clock::wall();
+        clock::sleep(Duration::from_millis(wait_ms - 1)).await;
+        let versions = || {
+            fleet
+                .members
+                .iter()
+                .map(|it| it.entry().config().view().version)
+        };
+        assert!(versions().all(|it| it == 1));
+        clock::sleep(Duration::from_millis(1)).await;
+        assert!(versions().all(|it| it == 2));
+    });
+}
+
+struct Start {
+    name: &'static str,
+    store_down: bool,
+    restart: &'static [usize],
+    wait: Duration,
+    serves: bool,
+}
+
+const STARTS: &[Start] = &[
+    Start {
+        name: "from the table",
+        store_down: false,
+        restart: &[0, 1, 2],
+        wait: SETTLE,
+        serves: true,
+    },
+    Start {
+        name: "from a peer, store down",
+        store_down: true,
+        restart: &[0],
+        wait: Duration::from_secs(3),
+        serves: true,
+    },
+    Start {
+        name: "from one peer that is left, store down",
+        store_down: true,
+        restart: &[0, 1],
+        wait: Duration::from_secs(3),
+        serves: true,
+    },
+    Start {
+        name: "neither table nor peers",
+        store_down: true,
+        restart: &[0, 1, 2],
+        wait: Duration::from_secs(60),
+        serves: false,
+    },
+];
+
+#[test]
+fn a_restarted_instance_serves_once_it_has_a_configuration() {
+    for start in STARTS {
+        runtime::paused(async move {
+            let fleet = Fleet::start(layout(1, 3));
+            clock::sleep(SETTLE).await;
+            let switch = operation("one", 1, Change::SwitchPreset("peak".to_owned()));
+            let proposed = proposer(&fleet.members[2].entry()).propose(&switch).await;
+            proposed.expect("nobody else");
+            clock::sleep(Duration::from_secs(60)).await;
+            fleet.table.faults().down.set(start.store_down);
+            // Long enough for every confirmation to lapse.
+            clock::sleep(Duration::from_secs(60)).await;
+            start.restart.iter().for_each(|it| fleet.restart(*it));
+            clock::sleep(start.wait).await;
+            let entry = fleet.members[0].entry();
+            let id: Id = "order-1".parse().expect("a valid key");
+            if start.serves {
+                assert!(entry.config().is_ready(), "{}", start.name);
+                assert_eq!(
+                    entry.config().view().document.preset,
+                    "peak",
+                    "{}",
+                    start.name
+                );
+            } else {
+                let refused = entry.submit(id, submission(1)).await;
+                assert!(
+                    matches!(refused, Err(Refused::Starting { .. })),
+                    "{}",
+                    start.name
+                );
+                assert!(fleet.targets.runs().is_empty(), "{}", start.name);
+            }
+        });
+    }
+}
+
+#[test]
+fn rolling_replacement_with_the_store_down_keeps_the_newest_version() {
+    runtime::paused(async {
+        let fleet = Fleet::start(layout(1, 3));
+        clock::sleep(SETTLE).await;
+        let switch = operation("one", 1, Change::SwitchPreset("peak".to_owned()));
+        let proposed = proposer(&fleet.members[0].entry()).propose(&switch).await;
+        proposed.expect("nobody else");
+        clock::sleep(IN_FORCE).await;
+        fleet.table.faults().down.set(true);
+        for round in 0..3 {
+            for member in 0..3 {
+                clock::sleep(Duration::from_secs(60)).await;
+                fleet.restart(member);
+                clock::sleep(Duration::from_secs(5)).await;
+                let view = fleet.members[member].entry().config().view();
+                assert_eq!((view.version, round), (2, round));
+                assert!(view.unconfirmed_since.is_some());
+            }
+        }
+    });
+}
+
+#[test]
+fn a_restarted_instance_takes_the_newest_of_its_peers() {
+    runtime::paused(async {
+        let fleet = Fleet::start(layout(1, 3));
+        clock::sleep(SETTLE).await;
+        let lagging = fleet.members[1].address;
+        for other in [0, 2] {
+            fleet.network.cut(lagging, fleet.members[other].address);
+        }
+        fleet.members[1].cut.set(true);
+        let switch = operation("one", 1, Change::SwitchPreset("peak".to_owned()));
+        let proposed = proposer(&fleet.members[0].entry()).propose(&switch).await;
+        proposed.expect("nobody else");
+        clock::sleep(IN_FORCE).await;
+        fleet.table.faults().down.set(true);
+        clock::sleep(Duration::from_secs(60)).await;
+        fleet.restart(0);
+        fleet.network.mend(lagging, fleet.members[0].address);
+        let entry = fleet.members[0].entry();
+        for _ in 0..100 {
+            clock::sleep(Duration::from_millis(100)).await;
+            assert!(!entry.config().is_ready() || entry.config().view().version == 2);
+        }
+        assert!(entry.config().is_ready());
+    });
+}
+
+#[test]
+fn a_version_that_was_heard_of_and_is_gone_keeps_a_restarted_instance_back() {
+    runtime::paused(async {
+        let fleet = Fleet::start(layout(1, 2));
+        clock::sleep(Duration::from_secs(2)).await;
+        fleet.members[1].scope().freeze();
+        let switch = operation("one", 1, Change::SwitchPreset("peak".to_owned()));
+        let proposed = proposer(&fleet.members[0].entry()).propose(&switch).await;
+        proposed.expect("nobody else");
+        clock::sleep(IN_FORCE).await;
+        assert_eq!(fleet.members[0].entry().config().view().version, 2);
+        fleet.table.faults().down.set(true);
+        fleet.restart(0);
+        fleet.members[1].scope().thaw();
+        clock::sleep(Duration::from_secs(30)).await;
+        let entry = fleet.members[0].entry();
+        assert!(!entry.config().is_ready());
+        fleet.table.faults().down.set(false);
+        clock::sleep(Duration::from_secs(1)).await;
+        assert_eq!(entry.config().view().version, 2);
+    });
+}
+
+#[test]
+fn a_cold_start_reads_a_snapshot_and_the_changes_after_it() {
+    runtime::paused(async {
+        let fleet = Fleet::start(layout(1, 2));
+        clock::sleep(SETTLE).await;
+        let entry = fleet.members[0].entry();
+        for version in 1..600 {
+            let change = Change::SetTeam(team(&format!("team-{}", version % 50), version as u32));
+            let operation = operation(&format!("operation-{version}"), version, change);
+            proposer(&entry)
+                .propose(&operation)
+                .await
+                .expect("one operator");
+        }
+        clock::sleep(IN_FORCE).await;
+        let before = fleet.table.faults().requests.get();
+        fleet.restart(1);
+        clock::sleep(SETTLE).await;
+        let requests = fleet.table.faults().requests.get() - before;
+        assert_eq!(
+            fleet.members[1].entry().config().view(),
+            entry.config().view()
+        );
+        assert!(requests <= 6, "{requests} requests");
+        let store = Store::new(Rc::new(fleet.table.clone()));
+        let earlier = store.document(300).await.expect("the table is up");
+        assert_eq!(earlier.map(|it| it.teams.len()), Some(51));
+    });
+}
+
+#[test]
+fn one_instance_of_a_domain_reads_the_table() {
+    runtime::paused(async {
+        let requests = async |entries: u16| {
+            let fleet = Fleet::start(layout(2, entries));
+            clock::sleep(Duration::from_secs(5)).await;
+            let before = fleet.table.faults().requests.get();
+            clock::sleep(Duration::from_secs(60)).await;
+            fleet.table.faults().requests.get() - before
+        };
+        // Two domains, two readings a second.
+        assert_eq!(requests(7).await, 240);
+        assert_eq!(requests(20).await, 240);
+    });
+}
+
+struct Drained {
+    name: &'static str,
+    drain: fn() -> Drain,
+    left: &'static [&'static str],
+}
+
+const DRAINS: &[Drained] = &[
+    Drained {
+        name: "target",
+        drain: || Drain::Target("target-0-0".to_owned()),
+        left: &["target-0-1", "target-0-2", "target-0-3"],
+    },
+    Drained {
+        name: "rack",
+        drain: || Drain::Rack {
+            domain: Domain::new(0),
+            rack: 0,
+        },
+        left: &["target-0-2", "target-0-3"],
+    },
+    Drained {
+        name: "domain",
+        drain: || Drain::Domain(Domain::new(0)),
+        left: &[],
+    },
+];
+
+#[test]
+fn drained_targets_get_no_new_work_whether_or_not_the_list_answers() {
+    for drained in DRAINS {
+        for list_down in [false, true] {
+            runtime::paused(async move {
+                let fleet = Fleet::start(Layout {
+                    targets: 4,
+                    rack: 2,
+                    ..layout(1, 2)
+                });
+                clock::sleep(SETTLE).await;
+                let entry = fleet.members[1].entry();
+                let change = Change::Drain((drained.drain)());
+                let accepted = proposer(&fleet.members[0].entry())
+                    .propose(&operation("one", 1, change))
+                    .await;
+                accepted.expect("nobody else");
+                fleet.instances.faults().down.set(list_down);
+                clock::sleep(DRAINED).await;
+                let before = fleet.targets.runs().len();
+                let id: Id = "order-1".parse().expect("a valid key");
+                let answer = entry.submit(id, submission(32)).await;
+                answer.expect("the instance serves");
+                let runs = fleet.targets.runs();
+                let used = |name: &str| runs[before..].iter().any(|it| it.target == name);
+                for target in ["target-0-0", "target-0-1", "target-0-2", "target-0-3"] {
+                    let allowed = drained.left.contains(&target);
+                    let (name, down) = (drained.name, list_down);
+                    assert_eq!(used(target), allowed, "{name}, list down {down}: {target}");
+                }
+            });
+        }
+    }
+}
--- a/crates/bluebellpath/tests/config_sessions/plan.rs
+++ b/crates/bluebellpath/tests/config_sessions/plan.rs
@@ -12,8 +12,8 @@
 pub enum Fault {
     /// Table refuses everything for some time.
     StoreDown(Duration),
-    /// Table takes 2 s for everything for some time.
-    StoreSlow(Duration),
+    /// Table is slow for some time.
+    StoreSlow(Slow),
     /// So many answers get lost.
     LoseAnswers(u32),
     /// Member is cut off from the platform for some time.
@@ -30,6 +30,17 @@
     RestartAll,
 }
 
+/// Slowness of the table.
+#[derive(Clone, Copy, Debug)]
+pub struct Slow {
+    /// Time that it lasts.
+    pub time: Duration,
+    /// Time that a read takes.
+    pub read: Duration,
+    /// Time that a write takes; half of it goes by before it takes effect.
+    pub write: Duration,
+}
+
 /// Faults with the time from the session's start at which each begins.
 pub fn draw(rng: &mut StdRng, members: usize) -> Vec<(Duration, Fault)> {
     let count = rng.random_range(0..=8);
@@ -46,7 +57,11 @@
     let member = rng.random_range(0..members);
     match rng.random_range(0..10) {
         0 | 1 => Fault::StoreDown(millis(rng, 200, 9_000)),
-        2 => Fault::StoreSlow(millis(rng, 500, 6_000)),
+        2 => Fault::StoreSlow(Slow {
+            time: millis(rng, 500, 6_000),
+            read: millis(rng, 1, 2_000),
+            write: millis(rng, 1, 8_000),
+        }),
         3 => Fault::LoseAnswers(rng.random_range(1..=3)),
         4 => Fault::Cut(member, millis(rng, 200, 8_000)),
         5 => Fault::Pause(member, millis(rng, 100, 7_000)),
--- a/crates/bluebellpath/tests/config_sessions/session.rs
+++ b/crates/bluebellpath/tests/config_sessions/session.rs
@@ -162,11 +162,11 @@
                 clock::sleep(time).await;
                 faults.down.set(false);
             }
-            Fault::StoreSlow(time) => {
+            Fault::StoreSlow(slow) => {
                 let ordinary = Faults::default();
-                faults.read.set(Duration::from_secs(2));
-                faults.write.set(Duration::from_secs(2));
-                clock::sleep(time).await;
+                faults.read.set(slow.read);
+                faults.write.set(slow.write);
+                clock::sleep(slow.time).await;
                 faults.read.swap(&ordinary.read);
                 faults.write.swap(&ordinary.write);
             }
