--- a/crates/bluebellpath/tests/config.rs
+++ b/crates/bluebellpath/tests/config.rs
@@ -237,6 +237,37 @@
     });
 }
 
+#[test]
+fn a_reading_of_an_undated_change_confirms_nothing() {
+    runtime::paused(async {
+        let fleet = Fleet::start(layout(2, 1));
+        clock::sleep(Duration::from_secs(2)).await;
+        let (writer, other) = (fleet.members[0].entry(), fleet.members[1].entry());
+        let switch = operation("one", 1, Change::SwitchPreset("peak".to_owned()));
+        let scope = fleet.members[0].scope();
+        let proposer = proposer(&writer);
+        drop(scope.spawn(async move { proposer.propose(&switch).await }));
+        while fleet.table.get("config/change/000000000002").is_none() {
+            clock::sleep(Duration::from_millis(1)).await;
+        }
+        // The effective time is written now, and reaches the table after it.
+        clock::sleep(Duration::from_millis(1)).await;
+        fleet.table.faults().write.set(Duration::from_secs(7));
+        clock::sleep(Duration::from_millis(1500)).await;
+        fleet.members[1].cut.set(true);
+        let confirmed = |it: &Entry| it.config().view().unconfirmed_since.is_none();
+        let mut switched = false;
+        for _ in 0..100 {
+            clock::sleep(Duration::from_millis(30)).await;
+            if writer.config().view().version == 2 && confirmed(&writer) {
+                switched = true;
+                assert!(!confirmed(&other));
+            }
+        }
+        assert!(switched);
+    });
+}
+
 struct Start {
     name: &'static str,
     store_down: bool,
@@ -353,8 +384,13 @@
         clock::sleep(IN_FORCE).await;
         fleet.table.faults().down.set(true);
         clock::sleep(Duration::from_secs(60)).await;
+        // The lagging peer is heard first.
+        let (first, newest) = (fleet.members[0].address, fleet.members[2].address);
+        fleet.network.cut(first, newest);
         fleet.restart(0);
-        fleet.network.mend(lagging, fleet.members[0].address);
+        fleet.network.mend(lagging, first);
+        clock::sleep(Duration::from_secs(1)).await;
+        fleet.network.mend(first, newest);
         let entry = fleet.members[0].entry();
         for _ in 0..100 {
             clock::sleep(Duration::from_millis(100)).await;
