--- a/crates/bluebellpath/src/config/timing.rs
+++ b/crates/bluebellpath/src/config/timing.rs
@@ -26,13 +26,13 @@
 
 impl Default for Timing {
     /// In force 3.4 s after acceptance, clocks within 50 ms, a reading each
-    /// 500 ms, taken over after 1.2 s and 0.5 s for each rank.
+    /// 500 ms, taken over after 1.7 s and 0.5 s for each rank.
     fn default() -> Timing {
         Timing {
             delay: Duration::from_millis(3400),
             max_skew: Duration::from_millis(50),
             interval: Duration::from_millis(500),
-            stale: Duration::from_millis(1200),
+            stale: Duration::from_millis(1700),
             stale_step: Duration::from_millis(500),
             settle: Duration::from_secs(2),
             orphaned: Duration::from_millis(600),
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,12 +8,14 @@
 one but for the demonstration and for tests.
 */
 
+mod dice;
 mod fault;
 mod fleet;
 mod gate;
 mod instances;
 mod network;
 mod objects;
+pub mod load;
 pub mod serve;
 mod table;
 mod targets;
@@ -25,4 +27,4 @@
 pub use network::{Network, Node};
 pub use objects::Objects;
 pub use table::Table;
-pub use targets::{Behaviour, Run, Targets, Trouble};
+pub use targets::{Behaviour, Run, Targets, Trouble, Work};
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -3,16 +3,26 @@
 use std::{cell::RefCell, collections::BTreeMap, rc::Rc};
 
 use bluebellpath::platform::{self, Commit, Conflict, Error, Expect, Item, Row, Step, Write};
-use bluebellpath_runtime::LocalFuture;
+use bluebellpath_runtime::{LocalFuture, Scope};
 
 use crate::Faults;
 
 #[derive(Default)]
 struct Inner {
     rows: RefCell<BTreeMap<String, Row>>,
+    reads: RefCell<BTreeMap<String, u64>>,
     faults: Faults,
 }
 
+impl Inner {
+    fn count(&self, keys: &[String]) {
+        let mut reads = self.reads.borrow_mut();
+        for key in keys {
+            *reads.entry(key.clone()).or_default() += 1;
+        }
+    }
+}
+
 /// Transactional table in memory; clones share their rows.
 #[derive(Clone, Default)]
 pub struct Table(Rc<Inner>);
@@ -38,6 +48,11 @@
         self.0.rows.borrow().get(key).cloned()
     }
 
+    /// Readings of the row under `key` so far.
+    pub fn reads(&self, key: &str) -> u64 {
+        self.0.reads.borrow().get(key).copied().unwrap_or(0)
+    }
+
     /// All rows, for [`Table::restore`].
     pub fn save(&self) -> BTreeMap<String, Row> {
         self.0.rows.borrow().clone()
@@ -104,6 +119,7 @@
 impl platform::Table for Table {
     fn read<'a>(&'a self, keys: &'a [String]) -> LocalFuture<'a, Result<Vec<Option<Row>>, Error>> {
         Box::pin(async move {
+            self.0.count(keys);
             self.0.faults.enter(Step::Read).await?;
             let rows = keys
                 .iter()
@@ -140,10 +156,19 @@
     }
 
     fn commit<'a>(&'a self, writes: &'a [Write]) -> LocalFuture<'a, Result<Commit, Error>> {
+        let (table, writes) = (self.clone(), writes.to_vec());
         Box::pin(async move {
-            self.0.faults.enter(Step::Commit).await?;
-            let commit = self.apply(writes);
-            self.0.faults.leave(Step::Commit, commit).await
+            // A request on its way takes effect whether or not its client still
+            // waits for the answer.
+            let request = Scope::new().spawn(async move {
+                table.0.faults.enter(Step::Commit).await?;
+                let commit = table.apply(&writes);
+                table.0.faults.leave(Step::Commit, commit).await
+            });
+            match request.await {
+                Some(result) => result,
+                None => std::future::pending().await,
+            }
         })
     }
 }
