Add the operators' interface

Cause: the configuration could be changed from code only. Change: HTTP under /admin: get, diff, apply with If-Match, dry run, restore, history, what was in force when, instances, outcomes by team; keys with roles as keyed hashes. Conclusion: the loser of a race learns who won and what changed.

--- a/crates/bluebellpath/src/caller/service.rs
+++ b/crates/bluebellpath/src/caller/service.rs
@@ -6,6 +6,7 @@
 
 use super::Problem;
 use crate::{
+    admin,
     entry::{Entry, Refusal},
     http::{Fault, Request, Response, Service},
     job::{Answer, Id, Outcome, Submission, Ticket},
@@ -24,6 +25,7 @@
 #[derive(Clone)]
 pub struct Api {
     entry: Entry,
+    admin: admin::Api,
 }
 
 #[derive(Serialize)]
@@ -34,7 +36,10 @@
 impl Api {
     /// Interface to `entry`.
     pub fn new(entry: Entry) -> Api {
-        Api { entry }
+        Api {
+            admin: admin::Api::new(entry.clone()),
+            entry,
+        }
     }
 
     async fn route(self, request: Request) -> Response {
@@ -110,7 +115,10 @@
 
 impl Service for Api {
     fn call(&self, request: Request) -> LocalFuture<'static, Response> {
-        Box::pin(self.clone().route(request))
+        match self.admin.call(&request) {
+            Some(response) => response,
+            None => Box::pin(self.clone().route(request)),
+        }
     }
 
     fn malformed(&self, status: StatusCode, fault: Fault) -> Response {
--- a/crates/bluebellpath/src/config/follower.rs
+++ b/crates/bluebellpath/src/config/follower.rs
@@ -113,7 +113,7 @@
             self.load(&reading).await?;
         }
         self.learn(&ahead.changes);
-        let newest = accepted_version(&reading);
+        let newest = reading.accepted_version();
         if self.current.newest() < newest {
             let changes = self.store.history(self.current.newest(), PAGE).await?;
             self.learn(&changes);
@@ -272,14 +272,6 @@
     }
 }
 
-/// Newest accepted version that a reading shows.
-fn accepted_version(reading: &Reading) -> u64 {
-    match reading.head.effective_ms {
-        Some(_) => reading.head.version,
-        None => reading.head.version - 1,
-    }
-}
-
 /// Newest version in an update for an instance that knows nothing.
 fn newest(update: &Update) -> u64 {
     let last = update.changes.last().map(|it| it.version);
--- a/crates/bluebellpath/src/config/head.rs
+++ b/crates/bluebellpath/src/config/head.rs
@@ -28,3 +28,13 @@
     /// Version of the row.
     pub row: u64,
 }
+
+impl Reading {
+    /// Newest accepted version.
+    pub fn accepted_version(&self) -> u64 {
+        match self.head.effective_ms {
+            Some(_) => self.head.version,
+            None => self.head.version - 1,
+        }
+    }
+}
--- a/crates/bluebellpath/src/config/operation.rs
+++ b/crates/bluebellpath/src/config/operation.rs
@@ -39,6 +39,12 @@
         /// What others changed since.
         since: Vec<Accepted>,
     },
+    /// The operation id was used before for other changes.
+    #[display("operation {operation} was used before for other changes")]
+    Mismatch {
+        /// Operation.
+        operation: String,
+    },
     /// Nothing would change.
     #[display("version {version} holds this content already")]
     Unchanged {
--- a/crates/bluebellpath/src/config/proposer.rs
+++ b/crates/bluebellpath/src/config/proposer.rs
@@ -53,36 +53,41 @@
     /// Makes the operation's changes, once however often it is asked for.
     pub async fn propose(&self, operation: &Operation) -> Result<Accepted, Refusal> {
         let mut failed = None;
+        // True once an attempt may have taken effect.
+        let mut open = false;
         for _ in 0..TRIES {
-            match self.attempt(operation, failed.is_some()).await {
+            match self.attempt(operation).await {
                 Ok(accepted) => {
                     self.current.learn(std::slice::from_ref(&accepted));
                     return Ok(accepted);
                 }
                 Err(Attempt::Refused(refusal)) => return Err(*refusal),
-                Err(Attempt::Certain(error)) if failed.is_none() => {
-                    return Err(unavailable(error));
+                Err(Attempt::Certain(error)) => failed = Some(error),
+                Err(Attempt::Open(error)) => {
+                    failed = Some(error);
+                    open = true;
                 }
-                Err(Attempt::Certain(error) | Attempt::Open(error)) => failed = Some(error),
                 // Lost a race for the head: look who won.
                 Err(Attempt::Conflict) => {}
             }
             clock::sleep(PAUSE).await;
         }
-        Err(match failed {
-            Some(error) => Refusal::Unknown {
+        let error = failed.unwrap_or_else(busy);
+        Err(match open {
+            true => Refusal::Unknown {
                 operation: operation.id.clone(),
                 error,
             },
-            None => unavailable(busy()),
+            false => unavailable(error),
         })
     }
 
-    /// One attempt; `open` when an earlier one may have taken effect.
-    async fn attempt(&self, operation: &Operation, open: bool) -> Result<Accepted, Attempt> {
+    /// One attempt.
+    async fn attempt(&self, operation: &Operation) -> Result<Accepted, Attempt> {
         let (reading, made) = self.look(operation).await.map_err(Attempt::Certain)?;
         if let Some(version) = made {
-            return self.finish(&reading, version).await;
+            let accepted = self.finish(&reading, version).await?;
+            return same(operation, accepted);
         }
         if reading.head.effective_ms.is_none() {
             // Somebody's proposal stands first. Dating it helps both.
@@ -90,11 +95,10 @@
             drop(self.finish(&reading, reading.head.version).await);
             return Err(Attempt::Conflict);
         }
-        // With the head where the operation wants it, an earlier attempt of an
-        // open operation can still arrive; one that finds the head moved on
-        // can't, so that its refusal is certain.
+        // Refused for good even if an earlier attempt is still under way: with
+        // the head moved on, that one can't take effect any more.
         let document = match self.prepare(operation, &reading).await {
-            Err(Refusal::Unavailable { error }) if open => return Err(Attempt::Open(error)),
+            Err(Refusal::Unavailable { error }) => return Err(Attempt::Certain(error)),
             other => other.map_err(|it| Attempt::Refused(Box::new(it)))?,
         };
         let accepted = Accepted {
@@ -186,6 +190,16 @@
     Conflict,
 }
 
+/// Result of an operation that was accepted before, unless its id served for
+/// something else.
+fn same(operation: &Operation, accepted: Accepted) -> Result<Accepted, Attempt> {
+    if accepted.changes == operation.changes {
+        return Ok(accepted);
+    }
+    let operation = operation.id.clone();
+    Err(Attempt::Refused(Box::new(Refusal::Mismatch { operation })))
+}
+
 fn written(error: Error) -> Attempt {
     match error.fault {
         Fault::Refused => Attempt::Certain(error),
--- a/crates/bluebellpath/src/config/store.rs
+++ b/crates/bluebellpath/src/config/store.rs
@@ -62,6 +62,12 @@
         Ok((reading, version))
     }
 
+    /// Newest accepted version, 0 on an empty table.
+    pub async fn newest(&self) -> Result<u64, Error> {
+        let reading = self.ahead(0).await?.reading;
+        Ok(reading.map_or(0, |it| it.accepted_version()))
+    }
+
     /// Reads the change that made `version`.
     pub async fn change(&self, version: u64) -> Result<Option<Accepted>, Error> {
         let mut rows = self.0.read(&[change_key(version)]).await?;
--- a/crates/bluebellpath/src/entry/mod.rs
+++ b/crates/bluebellpath/src/entry/mod.rs
@@ -30,9 +30,10 @@
 
 use self::state::State;
 use crate::{
+    admin::Outcomes,
     config::{Current, Follower},
     job::{Answer, Id, Submission, Ticket},
-    peer::Membership,
+    peer::{Membership, Source},
 };
 
 /// One entry instance.
@@ -82,6 +83,16 @@
         &self.0.env.config
     }
 
+    /// Outcomes by team.
+    pub fn outcomes(&self) -> &Outcomes {
+        &self.0.outcomes
+    }
+
+    /// What this instance tells its peers.
+    pub fn source(&self) -> Rc<dyn Source> {
+        self.0.clone()
+    }
+
     /// What this instance meets.
     pub fn env(&self) -> &Env {
         &self.0.env
--- a/crates/bluebellpath/src/entry/pump.rs
+++ b/crates/bluebellpath/src/entry/pump.rs
@@ -179,6 +179,7 @@
         return;
     }
     job.finish(outcome);
+    state.outcomes.count(&job.submission.team, outcome);
     state.record.append(record::Entry {
         job: job.id.clone(),
         instance: state.config.name.clone(),
--- a/crates/bluebellpath/src/entry/state.rs
+++ b/crates/bluebellpath/src/entry/state.rs
@@ -11,6 +11,7 @@
 
 use super::{Config, Env, jobs::Jobs, names::Names};
 use crate::{
+    admin::Outcomes,
     job::Ticket,
     owner::Claims,
     peer::{Heartbeat, Identity, Load, Membership, Phase, Source},
@@ -26,6 +27,7 @@
     pub(super) membership: Rc<Membership>,
     pub(super) claims: Claims,
     pub(super) record: Log,
+    pub(super) outcomes: Outcomes,
     pub(super) dispatcher: RefCell<Dispatcher>,
     /// Signals that the dispatcher may have something to start.
     pub(super) work: Notify,
@@ -50,6 +52,7 @@
             jobs: Jobs::default(),
             claims: Claims::new(env.table.clone(), config.incarnation),
             record: Log::new(),
+            outcomes: Outcomes::default(),
             dispatcher: RefCell::new(Dispatcher::new(Default::default())),
             work: Notify::new(),
             targets: RefCell::default(),
