--- a/crates/bluebellpath/src/config/known.rs
+++ b/crates/bluebellpath/src/config/known.rs
@@ -33,8 +33,9 @@
     pub(super) fn new(snapshot: Snapshot) -> Known {
         Known {
             heard: snapshot.version,
+            // Whether the preset changed at that time is not told along.
+            switched_ms: Some(snapshot.effective_ms),
             in_force: snapshot,
-            switched_ms: None,
             pending: VecDeque::new(),
             recent: VecDeque::new(),
             view: None,
@@ -96,7 +97,7 @@
     pub(super) fn unconfirmed_since(&self, now_ms: u64, timing: &Timing) -> Option<u64> {
         let until = timing.confirmed_until(self.read_ms.unwrap_or_default());
         let skew_ms = timing.skew_ms();
-        let ahead = self.pending.front().filter(|it| {
+        let ahead = self.pending.iter().find(|it| {
             let switches = it.document.preset != self.in_force.document.preset;
             switches && now_ms + skew_ms >= it.effective_ms
         });
@@ -161,9 +162,7 @@
 
     /// Takes over what a newer one knows.
     pub(super) fn replace(&mut self, fresh: Known) {
-        if fresh.in_force.document.preset != self.in_force.document.preset {
-            self.switched_ms = Some(fresh.in_force.effective_ms);
-        }
+        self.switched_ms = fresh.switched_ms;
         let acted = self.in_force.version;
         self.heard = self.heard.max(fresh.newest());
         self.in_force = fresh.in_force;
--- a/crates/bluebellpath/tests/config_sessions/main.rs
+++ b/crates/bluebellpath/tests/config_sessions/main.rs
@@ -19,6 +19,13 @@
 /// Seeds of every test run.
 const SEEDS: Range<u64> = 0..2000;
 
+/// Seeds of sessions that once broke a rule, run in every test run too: two
+/// versions close to each other, the second of which switches the preset.
+const FOUND: [u64; 5] = [7801, 11544, 15948, 16972, 18293];
+
+/// Sessions from which a sweep must reach the hard cases.
+const WHOLE_SWEEP: usize = 100;
+
 /// Threads that run sessions.
 const THREADS: u64 = 4;
 
@@ -35,6 +42,13 @@
     }
 }
 
+#[test]
+fn sessions_that_once_broke_a_rule_keep_it() {
+    for seed in FOUND {
+        assert_eq!(Session::run(seed, None).findings, [], "seed {seed}");
+    }
+}
+
 fn run_all(seeds: Range<u64>, plant: Option<Plant>) -> Vec<(u64, session::Report)> {
     let part = |thread: u64| {
         let seeds = seeds.clone().filter(move |it| it % THREADS == thread);
@@ -79,8 +93,14 @@
         broken.len(),
         &broken[..broken.len().min(5)]
     );
-    // A sweep that never reaches the hard cases would prove nothing.
-    assert!(sum(|it| it.accepted) > 0 && sum(|it| it.lost) > 0 && sum(|it| it.judged) > 0);
+    // A sweep that never reaches the hard cases would prove nothing; a single
+    // session that is looked at again need not.
+    let hard = [
+        sum(|it| it.accepted),
+        sum(|it| it.lost),
+        sum(|it| it.judged),
+    ];
+    assert!(reports.len() < WHOLE_SWEEP || hard.iter().all(|it| *it > 0));
 }
 
 struct Planted {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,10 +1,12 @@
 //! The operators' tool.
 
 mod demo;
+mod operate;
 
-use std::process::ExitCode;
+use std::{io, process::ExitCode};
 
 use clap::{Arg, Command, value_parser};
+use clap_complete::Shell;
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
@@ -14,7 +16,13 @@
             let seed = *matches.get_one("seed").expect("clap fills in the default");
             demo::run(&demo::Config { jobs, seed })
         }
-        _ => ExitCode::FAILURE,
+        Some(("completions", matches)) => {
+            let shell: Shell = *matches.get_one("shell").expect("clap requires it");
+            clap_complete::generate(shell, &mut command(), "bluebellpath", &mut io::stdout());
+            ExitCode::SUCCESS
+        }
+        Some((name, matches)) => operate::run(name, matches),
+        None => ExitCode::FAILURE,
     }
 }
 
@@ -35,4 +43,14 @@
                 .arg(number("jobs", "60").help("Jobs to submit"))
                 .arg(number("seed", "1").help("Seed of the jobs")),
         )
+        .subcommand(
+            Command::new("completions")
+                .about("Prints completions for a shell")
+                .arg(
+                    Arg::new("shell")
+                        .required(true)
+                        .value_parser(value_parser!(Shell)),
+                ),
+        )
+        .subcommands(operate::commands())
 }
