Plant refusals that outlast the proposer's tries

Change: the planted fault refuses a write that took effect, and then everything for 4 s. Conclusion: the rule and its strictness are as before.

--- a/crates/bluebellpath/tests/config_sessions/session.rs
+++ b/crates/bluebellpath/tests/config_sessions/session.rs
@@ -11,7 +11,7 @@
     Accepted, Change, Head, Operation, Proposer, Refusal, Store, Team, Timing,
 };
 use bluebellpath_runtime::{Scope, clock, runtime, spawn};
-use bluebellpath_standin::{Faults, Fleet, Layout};
+use bluebellpath_standin::{Faults, Fleet, Layout, Table};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 use crate::{
@@ -348,7 +348,7 @@
         let operation = self.operation(number, entry.config().newest());
         let id = operation.id.clone();
         if self.plant == Some(Plant::FalseRefusals) {
-            self.fleet.table.faults().deny_answers.set(1);
+            drop(spawn(deny(self.fleet.table.clone())));
         }
         let scope = self.fleet.members[member].scope();
         let result = scope
@@ -439,3 +439,16 @@
         store.history(0, 1000).await.unwrap_or_default()
     }
 }
+
+/// Refuses a write that took effect, and then all that could show it for as long
+/// as the proposer tries.
+async fn deny(table: Table) {
+    let faults = table.faults();
+    faults.deny_answers.set(1);
+    while faults.deny_answers.get() > 0 {
+        clock::sleep(Duration::from_millis(1)).await;
+    }
+    faults.down.set(true);
+    clock::sleep(Duration::from_secs(4)).await;
+    faults.down.set(false);
+}
