--- a/crates/bluebellpath/src/config/current.rs
+++ b/crates/bluebellpath/src/config/current.rs
@@ -74,8 +74,8 @@
         &self.changed
     }
 
-    /// Configuration in force now. Before [`Current::is_ready`] this is the
-    /// default document at version 0, which nothing may act under.
+    /// Configuration in force now. Before [`Current::is_ready`] this is version
+    /// 0 without a preset in force, which nothing may act under.
     pub fn view(&self) -> Rc<View> {
         let now_ms = clock::wall();
         match self.known.borrow_mut().as_mut() {
@@ -87,7 +87,10 @@
             }
             None => Rc::new(View {
                 version: 0,
-                document: Rc::default(),
+                document: Rc::new(Document {
+                    preset: String::new(),
+                    ..Document::default()
+                }),
                 unconfirmed_since: Some(0),
             }),
         }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,7 +3,10 @@
 mod demo;
 mod operate;
 
-use std::{io, process::ExitCode};
+use std::{
+    io::{self, Write as _},
+    process::ExitCode,
+};
 
 use clap::{Arg, Command, value_parser};
 use clap_complete::Shell;
@@ -18,8 +21,12 @@
         }
         Some(("completions", matches)) => {
             let shell: Shell = *matches.get_one("shell").expect("clap requires it");
-            clap_complete::generate(shell, &mut command(), "bluebellpath", &mut io::stdout());
-            ExitCode::SUCCESS
+            let mut script = Vec::new();
+            clap_complete::generate(shell, &mut command(), "bluebellpath", &mut script);
+            match io::stdout().write_all(&script) {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(_) => ExitCode::FAILURE,
+            }
         }
         Some((name, matches)) => operate::run(name, matches),
         None => ExitCode::FAILURE,
