--- a/crates/bluebellpath/src/caller/problem.rs
+++ b/crates/bluebellpath/src/caller/problem.rs
@@ -91,6 +91,7 @@
         Some(Reason::Overload) => (StatusCode::SERVICE_UNAVAILABLE, "overload"),
         Some(Reason::TooLarge) => (StatusCode::UNPROCESSABLE_ENTITY, "too-large"),
         Some(Reason::Deadline) => (StatusCode::UNPROCESSABLE_ENTITY, "deadline"),
+        Some(Reason::Starting) => (StatusCode::SERVICE_UNAVAILABLE, "starting"),
         None => (StatusCode::SERVICE_UNAVAILABLE, "not-run"),
     }
 }
--- a/crates/bluebellpath/src/caller/service.rs
+++ b/crates/bluebellpath/src/caller/service.rs
@@ -8,6 +8,7 @@
 
 use super::{Fault, Problem, check};
 use crate::{
+    admin,
     entry::{Entry, Refusal},
     http::{self, Request, Response, Service},
     job::{Answer, Id, Outcome, Ticket},
@@ -39,6 +40,7 @@
 #[derive(Clone)]
 pub struct Api {
     entry: Entry,
+    admin: admin::Api,
 }
 
 #[derive(Serialize)]
@@ -49,7 +51,10 @@
 impl Api {
     /// Interface to `entry`.
     pub fn new(entry: Entry) -> Api {
-        Api { entry }
+        Api {
+            admin: admin::Api::new(entry.clone()),
+            entry,
+        }
     }
 
     async fn route(self, request: Request) -> Response {
@@ -150,7 +155,10 @@
 
 impl Service for Api {
     fn call(&self, request: Request) -> LocalFuture<'static, Response> {
-        Box::pin(self.clone().route(request))
+        match self.admin.call(&request) {
+            Some(response) => response,
+            None => Box::pin(self.clone().route(request)),
+        }
     }
 
     fn malformed(&self, status: StatusCode, fault: http::Fault) -> Response {
--- a/crates/bluebellpath/src/daemon/life.rs
+++ b/crates/bluebellpath/src/daemon/life.rs
@@ -68,6 +68,9 @@
 
     /// Waits until the instance can run tasks, then tells that it is ready.
     pub async fn ready(self) -> Life<Serving> {
+        while !self.entry.config().is_ready() {
+            clock::sleep(POLL).await;
+        }
         let deadline = clock::now() + MAX_START;
         while !self.entry.has_targets() && clock::now() < deadline {
             clock::sleep(POLL).await;
--- a/crates/bluebellpath/src/daemon/mod.rs
+++ b/crates/bluebellpath/src/daemon/mod.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     caller::Api,
-    config::{Current, Document},
+    config::{Current, Timing},
     entry::{Config, Entry, Env},
     http::{Client, ClientConfig, Server},
     job::Incarnation,
@@ -117,7 +117,7 @@
         instances: platform,
         targets: Rc::new(target::Http::new(client)),
         link,
-        config: Rc::new(Current::new(1, Document::default())),
+        config: Rc::new(Current::starting(Timing::default())),
         log: log.clone(),
     };
     let config = Config {
--- a/crates/bluebellpath/src/entry/home.rs
+++ b/crates/bluebellpath/src/entry/home.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use bluebellpath_dispatch::{self as dispatch, KindId, Reason, TeamId};
+use bluebellpath_dispatch::{self as dispatch, KindId, TeamId};
 use bluebellpath_runtime::{Instant, clock, spawn};
 
 use super::{
@@ -13,10 +13,13 @@
     taken,
 };
 use crate::{
-    job::{Answer, Digest, Id, Key, Outcome, Submission, Ticket},
+    job::{Answer, Digest, Id, Key, Outcome, Reason, Submission, Ticket},
     owner::{Claim, Grant, Use},
 };
 
+/// Time after which to ask an instance again that starts, in milliseconds.
+const STARTING_RETRY_MS: u64 = 1000;
+
 /// What came of a request at its home.
 pub(super) enum Settled {
     /// Answer of the job.
@@ -125,7 +128,9 @@
     }
     let not_run = Outcome::NotRun;
     let mut answer = doubt::answer(state, id, Some(submission), not_run, detail);
-    Rc::make_mut(&mut answer).reason = Some(reason);
+    let refused = Rc::make_mut(&mut answer);
+    refused.reason = Some(reason);
+    refused.retry_after_ms = (reason == Reason::Starting).then_some(STARTING_RETRY_MS);
     state.meters.answered(not_run, waited, None);
     Err(Settled::Answer(answer))
 }
@@ -145,16 +150,19 @@
     state: &State,
     submission: &Submission,
     waited: Duration,
-) -> Option<(crate::job::Reason, &'static str)> {
+) -> Option<(Reason, &'static str)> {
+    if !state.env.config.is_ready() {
+        return Some((Reason::Starting, "this instance has no configuration yet"));
+    }
     if waited >= Duration::from_millis(submission.deadline_ms) {
         let detail = "the deadline passed before it could start";
-        return Some((crate::job::Reason::Deadline, detail));
+        return Some((Reason::Deadline, detail));
     }
     let targets = state.targets.borrow();
     let largest = targets.values().map(|it| it.slots).max()?;
     let too_large = submission.tasks.iter().any(|it| it.size > largest);
     let detail = "no target takes tasks of this size";
-    too_large.then_some((crate::job::Reason::TooLarge, detail))
+    too_large.then_some((Reason::TooLarge, detail))
 }
 
 /// Whether this instance may start a job.
@@ -265,16 +273,13 @@
 
 fn refuse(job: &Job, refusal: dispatch::Refusal) {
     let (reason, detail) = match refusal.reason {
-        Reason::TooLarge => (
-            crate::job::Reason::TooLarge,
-            "no target takes tasks of this size",
-        ),
-        Reason::Deadline => (
-            crate::job::Reason::Deadline,
+        dispatch::Reason::TooLarge => (Reason::TooLarge, "no target takes tasks of this size"),
+        dispatch::Reason::Deadline => (
+            Reason::Deadline,
             "the deadline is below the least possible time",
         ),
-        Reason::Quota => (crate::job::Reason::Quota, "the team is over its quota"),
-        Reason::Overload => (crate::job::Reason::Overload, "too much work waits already"),
+        dispatch::Reason::Quota => (Reason::Quota, "the team is over its quota"),
+        dispatch::Reason::Overload => (Reason::Overload, "too much work waits already"),
     };
     job.set_reason(reason);
     let retry_after_ms = refusal.retry_after.map(|it| it.as_millis() as u64);
--- a/crates/bluebellpath/src/entry/mod.rs
+++ b/crates/bluebellpath/src/entry/mod.rs
@@ -16,6 +16,7 @@
 mod check;
 mod config;
 mod doubt;
+mod drains;
 mod env;
 mod evict;
 mod fence;
@@ -50,9 +51,11 @@
     submit::Way,
 };
 use crate::{
+    admin::Outcomes,
+    config::{Current, Follower},
     job::{Answer, Id, Submission, Ticket},
-    peer::Membership,
-    platform::Guarded,
+    peer::{Membership, Source},
+    platform::{Guarded, Table},
     record::Log,
 };
 
@@ -74,6 +77,8 @@
             state.membership.clone().run(state),
         ));
         drop(bluebellpath_runtime::spawn(self.0.record.clone().run()));
+        drop(bluebellpath_runtime::spawn(self.follower().run()));
+        drop(bluebellpath_runtime::spawn(drains::follow(self.0.clone())));
         self.0.claims.start();
         drop(bluebellpath_runtime::spawn(evict::run(self.0.clone())));
         drop(bluebellpath_runtime::spawn(pump::run(self.0.clone())));
@@ -82,6 +87,44 @@
         )));
     }
 
+    fn follower(&self) -> Rc<Follower> {
+        let Env {
+            config, link, log, ..
+        } = self.0.env.clone();
+        Rc::new(Follower::new(
+            config,
+            self.config_table(),
+            self.0.membership.clone(),
+            link,
+            log,
+        ))
+    }
+
+    /// Configuration that this instance acts under.
+    pub fn config(&self) -> &Rc<Current> {
+        &self.0.env.config
+    }
+
+    /// Table that holds the configuration.
+    pub fn config_table(&self) -> Rc<dyn Table> {
+        self.0.config_table.clone()
+    }
+
+    /// Outcomes by team.
+    pub fn outcomes(&self) -> &Outcomes {
+        &self.0.outcomes
+    }
+
+    /// What this instance tells its peers.
+    pub fn source(&self) -> Rc<dyn Source> {
+        self.0.clone()
+    }
+
+    /// What this instance meets.
+    pub fn env(&self) -> &Env {
+        &self.0.env
+    }
+
     /// Peers of this instance.
     pub fn membership(&self) -> &Rc<Membership> {
         &self.0.membership
--- a/crates/bluebellpath/src/entry/pump.rs
+++ b/crates/bluebellpath/src/entry/pump.rs
@@ -193,6 +193,7 @@
     let response = clock::now() - job.began;
     state.meters.answered(outcome, response, job.longest());
     end_claim(state, job, outcome);
+    state.outcomes.count(&job.submission.team, outcome);
     audit::enter(state, job);
     if job.cancelled.get() && state.config.planted == Some(Planted::DropAnswer) {
         return;
@@ -255,17 +256,20 @@
     }
 }
 
-fn set_targets(state: &State, instances: Vec<Instance>) {
+/// Gives the dispatcher the targets of this domain.
+pub(super) fn set_targets(state: &State, instances: Vec<Instance>) {
+    let view = state.env.config.view();
     let ours = |it: &Instance| it.role == Role::Target && it.domain == state.config.domain;
     let mut listed = std::collections::HashMap::new();
     for instance in instances.into_iter().filter(ours) {
         let id = dispatch::TargetId(state.target_names.number(&instance.name));
         let target = dispatch::Target {
             id,
-            slots: instance.slots,
-            credit: instance.slots.min(instance.connections),
+            slots: view.slots(&instance),
+            credit: view.slots(&instance).min(view.connections(&instance)),
             rack: instance.rack,
-            leaving: instance.state == platform::State::Leaving,
+            leaving: instance.state == platform::State::Leaving
+                || state.env.config.drains(&instance),
         };
         state.dispatcher.borrow_mut().set_target(target);
         listed.insert(id, Rc::new(instance));
--- a/crates/bluebellpath/src/entry/serve.rs
+++ b/crates/bluebellpath/src/entry/serve.rs
@@ -23,6 +23,10 @@
         let state = self.0.0.clone();
         Box::pin(async move {
             match request {
+                Request::Config { after } => {
+                    let update = state.env.config.update(after);
+                    update.map_or(Reply::Missing, |it| Reply::Config(Box::new(it)))
+                }
                 Request::Submit {
                     id,
                     submission,
--- a/crates/bluebellpath/src/entry/state.rs
+++ b/crates/bluebellpath/src/entry/state.rs
@@ -11,10 +11,11 @@
 
 use super::{Config, Env, Planted, jobs::Jobs, names::Names, order::Order};
 use crate::{
+    admin::Outcomes,
     metric::Meters,
     owner::{Claims, Tickets},
     peer::{Heartbeat, Identity, Load, Membership, Phase, Source},
-    platform::{Guarded, Instance},
+    platform::{Guarded, Instance, Table},
     record::Log,
 };
 
@@ -23,12 +24,16 @@
     pub(super) config: Config,
     pub(super) env: Env,
     pub(super) platform: Rc<Guarded>,
+    /// Table for the configuration alone, which is read at a rate of its own:
+    /// one that waits behind claims would not be in force in time.
+    pub(super) config_table: Rc<dyn Table>,
     pub(super) jobs: Jobs,
     pub(super) membership: Rc<Membership>,
     pub(super) order: Order,
     pub(super) claims: Rc<Claims>,
     pub(super) tickets: Tickets,
     pub(super) record: Rc<Log>,
+    pub(super) outcomes: Outcomes,
     /// When the instance list was last read.
     pub(super) listed: Cell<Instant>,
     pub(super) dispatcher: RefCell<Dispatcher>,
@@ -52,6 +57,7 @@
             domain: config.domain,
             address: config.address,
         };
+        let config_table = env.table.clone();
         let platform = Rc::new(guarded(&config, &env));
         let env = Env {
             table: platform.clone(),
@@ -73,6 +79,7 @@
             claims: Rc::new(claims),
             tickets: Tickets::new(config.domain, config.incarnation, window),
             record: Rc::new(log(&config, &env)),
+            outcomes: Outcomes::default(),
             listed: Cell::new(clock::now()),
             dispatcher: RefCell::new(Dispatcher::new(Default::default())),
             work: Notify::new(),
@@ -86,6 +93,7 @@
             config,
             env,
             platform,
+            config_table,
         }
     }
 
@@ -116,11 +124,14 @@
 impl Source for State {
     fn fill(&self, heartbeat: &mut Heartbeat) {
         let dispatcher = self.dispatcher.borrow();
+        let config = &self.env.config;
         heartbeat.phase = match self.claims.is_releasing() {
             true => Phase::Draining,
+            false if !config.is_ready() => Phase::Starting,
             false => self.phase.get(),
         };
-        heartbeat.config_version = self.env.config.view().version;
+        heartbeat.config_version = config.newest();
+        heartbeat.config_read_ms = config.read_ms();
         heartbeat.load = Load {
             waiting: dispatcher.waiting() as u32,
             running: dispatcher.running() as u32,
--- a/crates/bluebellpath/src/job/reason.rs
+++ b/crates/bluebellpath/src/job/reason.rs
@@ -19,4 +19,7 @@
     /// Too much work waits already.
     #[display("overload")]
     Overload,
+    /// The instance has no configuration yet.
+    #[display("starting")]
+    Starting,
 }
--- a/crates/bluebellpath/src/peer/message.rs
+++ b/crates/bluebellpath/src/peer/message.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    config::Update,
     job::{Answer, Id, Incarnation, Submission},
     owner::{Account, Hold, Promise},
 };
@@ -42,6 +43,11 @@
         /// That peer.
         holder: Incarnation,
     },
+    /// Send what follows a configuration version.
+    Config {
+        /// Newest version that the sender knows, 0 without one.
+        after: u64,
+    },
 }
 
 /// Reply to a [`Request`].
@@ -61,4 +67,6 @@
     Promise(Promise),
     /// What is known of a peer's tenure.
     Account(Account),
+    /// What follows the configuration version.
+    Config(Box<Update>),
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,10 +2,16 @@
 
 mod demo;
 mod dump;
+mod operate;
 
-use std::{net::SocketAddr, process::ExitCode};
+use std::{
+    io::{self, Write as _},
+    net::SocketAddr,
+    process::ExitCode,
+};
 
 use clap::{Arg, Command, value_parser};
+use clap_complete::Shell;
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
@@ -22,7 +28,17 @@
             let limit = *matches.get_one("limit").expect("clap fills in the default");
             dump::run(*entry, limit)
         }
-        _ => ExitCode::FAILURE,
+        Some(("completions", matches)) => {
+            let shell: Shell = *matches.get_one("shell").expect("clap requires it");
+            let mut script = Vec::new();
+            clap_complete::generate(shell, &mut command(), "bluebellpath", &mut script);
+            match io::stdout().write_all(&script) {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(_) => ExitCode::FAILURE,
+            }
+        }
+        Some((name, matches)) => operate::run(name, matches),
+        None => ExitCode::FAILURE,
     }
 }
 
@@ -55,4 +71,14 @@
                 )
                 .arg(number("limit", "100").help("Most rows of each table")),
         )
+        .subcommand(
+            Command::new("completions")
+                .about("Prints completions for a shell")
+                .arg(
+                    Arg::new("shell")
+                        .required(true)
+                        .value_parser(value_parser!(Shell)),
+                ),
+        )
+        .subcommands(operate::commands())
 }
--- a/crates/runtime/src/runtime.rs
+++ b/crates/runtime/src/runtime.rs
@@ -36,7 +36,7 @@
         .build()
         .expect("epoll is part of every supported kernel");
     runtime.block_on(async move {
-        let _paused = clock::pause();
+        let paused = clock::pause();
         let root = Scope::new();
         let ended = root.clone();
         let main = root.spawn(async move {
@@ -48,6 +48,9 @@
         let advancer = monoio::spawn(advance(root.clone(), stuck.clone()));
         let output = main.await;
         advancer.await;
+        scope::retire();
+        drop(paused);
+        settle().await;
         assert!(
             !stuck.get(),
             "deadlock: every task waits and no timer is left"
@@ -77,6 +80,18 @@
     }
 }
 
+/// Lets tasks end that were woken by the end of others.
+///
+/// A task that is dropped after the runtime has ended can't wake those that
+/// wait for it, and panics.
+async fn settle() {
+    let mut before = None;
+    while before != Some(scope::polls()) {
+        before = Some(scope::polls());
+        yield_now().await;
+    }
+}
+
 /// Lets every task that is ready now run before the caller goes on.
 pub async fn yield_now() {
     // monoio puts a task that wakes itself at the front of the queue; a fresh
--- a/crates/runtime/src/scope.rs
+++ b/crates/runtime/src/scope.rs
@@ -20,6 +20,7 @@
 thread_local! {
     static CURRENT: RefCell<Option<Scope>> = const { RefCell::new(None) };
     static POLLS: Cell<u64> = const { Cell::new(0) };
+    static EPOCH: Cell<u64> = const { Cell::new(0) };
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -70,6 +71,7 @@
         let future: Pin<Box<dyn Future<Output = ()>>> = Box::pin(future);
         let task = Scoped {
             scope: self.clone(),
+            epoch: EPOCH.get(),
             future: Some(future),
             slot: None,
         };
@@ -147,6 +149,11 @@
     POLLS.get()
 }
 
+/// Drops every task of this thread's scopes at its next turn.
+pub(crate) fn retire() {
+    EPOCH.set(EPOCH.get() + 1);
+}
+
 /// Waits for a spawned task; `None` when its scope was killed first.
 pub struct Handle<T>(oneshot::Receiver<T>);
 
@@ -160,6 +167,7 @@
 
 struct Scoped {
     scope: Scope,
+    epoch: u64,
     future: Option<Pin<Box<dyn Future<Output = ()>>>>,
     slot: Option<usize>,
 }
@@ -188,6 +196,10 @@
 
     fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
         POLLS.set(POLLS.get() + 1);
+        if self.epoch != EPOCH.get() {
+            self.end();
+            return Poll::Ready(());
+        }
         match self.scope.0.state.get() {
             State::Dead => {
                 self.end();
--- a/crates/runtime/tests/paused.rs
+++ b/crates/runtime/tests/paused.rs
@@ -71,3 +71,21 @@
 fn a_session_that_can_never_end_is_reported() {
     runtime::paused(std::future::pending::<()>());
 }
+
+#[test]
+fn tasks_that_wait_for_each_other_end_with_the_session() {
+    runtime::paused(async {
+        let scope = Scope::new();
+        for _ in 0..3 {
+            let inner = scope.spawn(std::future::pending::<()>());
+            drop(scope.spawn(async move {
+                let slept = clock::sleep(SECOND * 60);
+                slept.await;
+                inner.await
+            }));
+            let sleeper = scope.spawn(clock::sleep(SECOND * 60));
+            drop(scope.spawn(sleeper));
+        }
+        clock::sleep(SECOND).await;
+    });
+}
--- a/crates/sessions/tests/ownership.rs
+++ b/crates/sessions/tests/ownership.rs
@@ -180,13 +180,17 @@
             config.owner.sweep = Duration::from_secs(5);
         });
         clock::sleep(SETTLED).await;
-        let leases = fleet.table.len();
         for number in 0..50 {
             submit(&fleet, 0, key(number), submission(1, 2_000, 1)).await;
         }
-        let kept = fleet.table.len() - leases;
+        // The record keeps rows of its own.
+        let claims = || {
+            let rows = fleet.table.save();
+            rows.keys().filter(|it| it.starts_with("claim/")).count()
+        };
+        let kept = claims();
         clock::sleep(Duration::from_secs(60)).await;
-        (kept, fleet.table.len() - leases)
+        (kept, claims())
     });
     assert_eq!((kept, later), (50, 0));
 }
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -13,6 +13,9 @@
     pub down: Cell<bool>,
     /// Answers that get lost after the request took effect.
     pub lose_answers: Cell<u32>,
+    /// Answers that are turned into refusals after the request took effect,
+    /// which no platform may do: for tests that prove a checker.
+    pub deny_answers: Cell<u32>,
     /// Answers out of a thousand that get lost, picked by [`Faults::seed`].
     pub lose_permille: Cell<u32>,
     /// State of the generator that picks lost answers.
@@ -33,6 +36,7 @@
         Faults {
             down: Cell::new(false),
             lose_answers: Cell::new(0),
+            deny_answers: Cell::new(0),
             lose_permille: Cell::new(0),
             seed: Cell::new(1),
             struck: Cell::new(0),
@@ -62,6 +66,11 @@
             self.struck.set(self.struck.get() + 1);
             return Err(error(step, Fault::Unknown, "answer lost"));
         }
+        let deny = self.deny_answers.get();
+        if deny > 0 && step == Step::Commit {
+            self.deny_answers.set(deny - 1);
+            return Err(error(step, Fault::Refused, "answer denied"));
+        }
         Ok(answer)
     }
 
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -10,9 +10,19 @@
 #[derive(Default)]
 struct Inner {
     rows: RefCell<BTreeMap<String, Row>>,
+    reads: RefCell<BTreeMap<String, u64>>,
     faults: Faults,
 }
 
+impl Inner {
+    fn count(&self, keys: &[String]) {
+        let mut reads = self.reads.borrow_mut();
+        for key in keys {
+            *reads.entry(key.clone()).or_default() += 1;
+        }
+    }
+}
+
 /// Transactional table in memory; clones share their rows.
 #[derive(Clone, Default)]
 pub struct Table(Rc<Inner>);
@@ -33,12 +43,34 @@
         self.0.rows.borrow().len()
     }
 
+    /// Row under `key`, at once and without faults.
+    pub fn get(&self, key: &str) -> Option<Row> {
+        self.0.rows.borrow().get(key).cloned()
+    }
+
+    /// Readings of the row under `key` so far.
+    pub fn reads(&self, key: &str) -> u64 {
+        self.0.reads.borrow().get(key).copied().unwrap_or(0)
+    }
+
+    /// All rows, for [`Table::restore`].
+    pub fn save(&self) -> BTreeMap<String, Row> {
+        self.0.rows.borrow().clone()
+    }
+
+    /// Puts back what [`Table::save`] gave, which no platform may do: for tests
+    /// that prove a checker.
+    pub fn restore(&self, rows: BTreeMap<String, Row>) {
+        *self.0.rows.borrow_mut() = rows;
+    }
+
     /// True without rows.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
     }
 
-    fn apply(&self, writes: &[Write]) -> Commit {
+    /// Makes all of `writes` or none, at once and without faults.
+    pub fn apply(&self, writes: &[Write]) -> Commit {
         let mut rows = self.0.rows.borrow_mut();
         let conflicts: Vec<Conflict> = writes
             .iter()
@@ -87,6 +119,7 @@
 impl platform::Table for Table {
     fn read<'a>(&'a self, keys: &'a [String]) -> LocalFuture<'a, Result<Vec<Option<Row>>, Error>> {
         Box::pin(async move {
+            self.0.count(keys);
             self.0.faults.enter(Step::Read).await?;
             let rows = keys
                 .iter()
