--- a/crates/bluebellpath/src/http/client.rs
+++ b/crates/bluebellpath/src/http/client.rs
@@ -212,7 +212,8 @@
     host: HeaderValue,
     limits: Limits,
     reader: Reader<OwnedReadHalf<TcpStream>>,
-    write: OwnedWriteHalf<TcpStream>,
+    // Kept with its buffer, whose size is beyond the allocator's fast path.
+    encoder: GenericEncoder<OwnedWriteHalf<TcpStream>>,
 }
 
 impl Connection {
@@ -223,7 +224,7 @@
             host: host.unwrap_or(HeaderValue::from_static("unknown")),
             limits,
             reader: Reader::new(read),
-            write,
+            encoder: GenericEncoder::new(write),
         }
     }
 
@@ -287,8 +288,8 @@
             .check()
             .map_err(|_| failed(Step::Fence, false)(Fault::Lapsed))?;
         let send = async {
-            let mut encoder = GenericEncoder::new(&mut self.write);
-            encoder.send_and_flush(message).await.map_err(|_| Fault::Io)
+            let sent = self.encoder.send_and_flush(message).await;
+            sent.map_err(|_| Fault::Io)
         };
         let sent = clock::timeout(self.limits.write, send).await;
         sent.unwrap_or(Err(Fault::TimedOut))
--- a/crates/bluebellpath/src/http/reader.rs
+++ b/crates/bluebellpath/src/http/reader.rs
@@ -13,8 +13,12 @@
 
 use super::{Fault, Limits};
 
-/// Bytes asked of the socket at once.
-const CHUNK_BYTES: usize = 4 << 10;
+/// Fewest bytes asked of the socket at once: most messages are smaller, and so
+/// is what the allocator hands out without searching.
+const MIN_CHUNK_BYTES: usize = 1 << 10;
+
+/// Most bytes asked of the socket at once.
+const MAX_CHUNK_BYTES: usize = 64 << 10;
 
 /// Most bytes of a chunk's size, line ends and the last chunk.
 const MAX_CHUNK_FRAME: usize = 64;
@@ -30,6 +34,7 @@
 pub(super) struct Reader<R> {
     io: R,
     buffer: BytesMut,
+    chunk_bytes: usize,
 }
 
 impl<R: AsyncReadRent> Reader<R> {
@@ -37,6 +42,7 @@
         Reader {
             io,
             buffer: BytesMut::new(),
+            chunk_bytes: MIN_CHUNK_BYTES,
         }
     }
 
@@ -171,14 +177,23 @@
         }
     }
 
+    /// Asks for more at once while the socket fills what it is given.
+    fn resize(&mut self, read: usize) {
+        self.chunk_bytes = match read == self.chunk_bytes {
+            true => (2 * read).min(MAX_CHUNK_BYTES),
+            false => MIN_CHUNK_BYTES,
+        };
+    }
+
     async fn fill(&mut self) -> Result<bool, Fault> {
         // Lending the buffer's free end to the socket instead costs more: the
         // split and the shared count outweigh the copy of a small message.
-        let chunk = Vec::with_capacity(CHUNK_BYTES);
+        let chunk = Vec::with_capacity(self.chunk_bytes);
         let (result, chunk) = self.io.read(chunk).await;
         match result {
             Ok(0) => Ok(false),
             Ok(read) => {
+                self.resize(read);
                 self.buffer.extend_from_slice(&chunk[..read]);
                 Ok(true)
             }
