--- a/crates/bluebellpath/src/entry/job.rs
+++ b/crates/bluebellpath/src/entry/job.rs
@@ -16,6 +16,7 @@
     job::{Answer, Digest, Id, Outcome, Part, Reason, Submission, TaskId},
     owner::Grant,
     platform::Instance,
+    record::Right,
 };
 
 /// What those who wait for a job are told.
@@ -61,6 +62,8 @@
     pub(super) deadline: Instant,
     pub(super) cancelled: Cell<bool>,
     pub(super) grant: Cell<Option<Grant>>,
+    /// When this instance took the job in.
+    pub(super) admitted: Instant,
     /// True once this instance has the right to start the job.
     owned: Cell<bool>,
     slots: RefCell<Vec<Slot>>,
@@ -97,6 +100,7 @@
             deadline: clock::now() + limit.saturating_sub(waited),
             cancelled: Cell::new(false),
             grant: Cell::new(None),
+            admitted: clock::now(),
             owned: Cell::new(false),
             left: Cell::new(slots.len()),
             slots: RefCell::new(slots),
@@ -237,6 +241,20 @@
         self.done.notify();
     }
 
+    /// Answer, once it is known.
+    pub(super) fn given(&self) -> Option<Rc<Answer>> {
+        self.answer.borrow().clone()
+    }
+
+    /// By what right this instance started the job.
+    pub(super) fn right(&self) -> Right {
+        match &self.id {
+            _ if !self.owned.get() => Right::None,
+            Id::Ticket(_) => Right::Ticket,
+            Id::Key(_) => Right::Claim,
+        }
+    }
+
     /// Notes that this instance has the right to start the job.
     pub(super) fn own(&self) {
         self.owned.set(true);
--- a/crates/bluebellpath/src/entry/pump.rs
+++ b/crates/bluebellpath/src/entry/pump.rs
@@ -8,7 +8,7 @@
 use slog::{debug, warn};
 
 use super::{
-    Planted, evict,
+    Planted, audit, evict,
     fence::Right,
     job::{Cause, Ending, Job},
     state::State,
@@ -16,7 +16,6 @@
 use crate::{
     job::{Id, Outcome},
     platform::{self, Instance, Role},
-    record,
     target::{self, Fault, Reason, Start, Status},
 };
 
@@ -80,6 +79,7 @@
     let task = job.task(assignment.task);
     let fence = Rc::new(Right {
         job: job.clone(),
+        held_until: state.claims.held_until(),
         planted: state.config.planted,
     });
     let start = Start {
@@ -193,18 +193,7 @@
     let response = clock::now() - job.began;
     state.meters.answered(outcome, response, job.longest());
     end_claim(state, job, outcome);
-    state.record.append(record::Entry {
-        job: job.id.clone(),
-        instance: state.config.name.clone(),
-        incarnation: state.config.incarnation,
-        submitted_ms: job.submitted_ms,
-        answered_ms: clock::wall(),
-        deadline_ms: job.submission.deadline_ms,
-        outcome,
-        preset: job.view.document.preset.clone(),
-        config_version: job.view.version,
-        unconfirmed_since: job.view.unconfirmed_since,
-    });
+    audit::enter(state, job);
     if job.cancelled.get() && state.config.planted == Some(Planted::DropAnswer) {
         return;
     }
@@ -251,8 +240,9 @@
     let mut roll = platform::Roll::new(state.config.domain);
     loop {
         match roll.refresh(state.env.instances.as_ref()).await {
-            Ok(false) => {}
+            Ok(false) => state.listed.set(clock::now()),
             Ok(true) => {
+                state.listed.set(clock::now());
                 let instances = roll.instances();
                 state.membership.observe(&instances);
                 let entries = instances.iter().filter(|it| it.role == Role::Entry);
--- a/crates/bluebellpath/src/entry/state.rs
+++ b/crates/bluebellpath/src/entry/state.rs
@@ -7,9 +7,9 @@
 };
 
 use bluebellpath_dispatch::{Dispatcher, TargetId};
-use bluebellpath_runtime::Notify;
+use bluebellpath_runtime::{Instant, Notify, clock};
 
-use super::{Config, Env, jobs::Jobs, names::Names, order::Order};
+use super::{Config, Env, Planted, jobs::Jobs, names::Names, order::Order};
 use crate::{
     metric::Meters,
     owner::{Claims, Tickets},
@@ -28,7 +28,9 @@
     pub(super) order: Order,
     pub(super) claims: Rc<Claims>,
     pub(super) tickets: Tickets,
-    pub(super) record: Log,
+    pub(super) record: Rc<Log>,
+    /// When the instance list was last read.
+    pub(super) listed: Cell<Instant>,
     pub(super) dispatcher: RefCell<Dispatcher>,
     /// Signals that the dispatcher may have something to start.
     pub(super) work: Notify,
@@ -60,15 +62,18 @@
         let membership = Membership::new(identity, env.link.clone(), config.membership);
         let membership = Rc::new(membership);
         let table = env.table.clone();
-        let claims = Claims::new(table, membership.clone(), config.domains, config.owner);
-        let window = config.owner.max_tickets;
+        let mut owner = config.owner;
+        owner.forget_promises |= config.planted == Some(Planted::ForgetPromise);
+        let claims = Claims::new(table, membership.clone(), config.domains, owner);
+        let window = owner.max_tickets;
         State {
             membership,
             jobs: Jobs::default(),
             order: Order::new(config.planted),
             claims: Rc::new(claims),
             tickets: Tickets::new(config.domain, config.incarnation, window),
-            record: Log::new(),
+            record: Rc::new(log(&config, &env)),
+            listed: Cell::new(clock::now()),
             dispatcher: RefCell::new(Dispatcher::new(Default::default())),
             work: Notify::new(),
             targets: RefCell::default(),
@@ -91,6 +96,17 @@
     }
 }
 
+fn log(config: &Config, env: &Env) -> Log {
+    let (table, objects) = (env.table.clone(), env.objects.clone());
+    Log::new(
+        &config.name,
+        config.incarnation,
+        config.record,
+        table,
+        objects,
+    )
+}
+
 fn guarded(config: &Config, env: &Env) -> Guarded {
     let (table, objects) = (env.table.clone(), env.objects.clone());
     let seed = config.incarnation.to_u64();
@@ -100,7 +116,10 @@
 impl Source for State {
     fn fill(&self, heartbeat: &mut Heartbeat) {
         let dispatcher = self.dispatcher.borrow();
-        heartbeat.phase = self.phase.get();
+        heartbeat.phase = match self.claims.is_releasing() {
+            true => Phase::Draining,
+            false => self.phase.get(),
+        };
         heartbeat.config_version = self.env.config.view().version;
         heartbeat.load = Load {
             waiting: dispatcher.waiting() as u32,
