Write the record to its end in a planned stop

Cause: a drain released leases and left entries of the record unwritten. Change: Entry::release closes the record between the shards' release and the last word to peers, within 10 s; a stop that can't write it is not clean.

--- a/crates/bluebellpath/src/daemon/life.rs
+++ b/crates/bluebellpath/src/daemon/life.rs
@@ -29,6 +29,9 @@
 /// Longest wait for a first target before the instance counts as ready.
 const MAX_START: Duration = Duration::from_secs(5);
 
+/// Longest time for handing over what outlives the instance.
+const MAX_RELEASE: Duration = Duration::from_secs(10);
+
 /// Stage before the first target is known.
 pub struct Starting;
 
@@ -121,11 +124,17 @@
                 clock::sleep(POLL).await;
             }
         };
-        let idle = clock::timeout(self.times.limit, idle).await.is_some();
-        if idle {
-            self.entry.release().await;
+        if clock::timeout(self.times.limit, idle).await.is_none() {
+            return false;
+        }
+        match clock::timeout(MAX_RELEASE, self.entry.release()).await {
+            Some(Ok(())) => true,
+            Some(Err(error)) => {
+                warn!(self.log, "record not written to its end"; "error" => %error);
+                false
+            }
+            None => false,
         }
-        idle
     }
 }
 
@@ -135,9 +144,10 @@
         self.stage.left
     }
 
-    /// True when nothing was cut off.
+    /// True when nothing was cut off and the record is written.
     pub fn is_clean(&self) -> bool {
-        self.stage.left.is_done() && self.stage.connections == 0
+        let left = self.stage.left;
+        left.is_done() && left.unwritten == 0 && self.stage.connections == 0
     }
 }
 
--- a/crates/bluebellpath/src/entry/lifecycle.rs
+++ b/crates/bluebellpath/src/entry/lifecycle.rs
@@ -1,7 +1,7 @@
 //! An entry instance's part in its start and its planned stop.
 
 use super::Entry;
-use crate::peer::Phase;
+use crate::{peer::Phase, platform};
 
 /// Work that an entry instance has not finished.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -39,10 +39,14 @@
         !self.0.targets.borrow().is_empty()
     }
 
-    /// Hands over what outlives this instance, at the end of a planned stop.
-    pub async fn release(&self) {
+    /// Hands over what outlives this instance, at the end of a planned stop:
+    /// the shards of keys, the record, and word to the peers. Errs when the
+    /// record could not be written to its end.
+    pub async fn release(&self) -> Result<(), platform::Error> {
         self.release_ownership().await;
+        let written = self.0.record.close().await;
         self.0.membership.leave(self.0.as_ref());
+        written
     }
 
     /// Work that is not finished.
