Print the record with bluebellpath audit, and close it at a planned stop

Cause: the record could only be read by tests, and no chain was ever closed; the age of the list was taken at the wrong moment. Change: audit JOB and audit verify, tables and JSON, straight from the platform; Entry::release closes the chain; the list's age is the greatest at any hand-over. Conclusion: an operator can answer for one request without any instance up.

--- a/crates/bluebellpath/src/entry/audit.rs
+++ b/crates/bluebellpath/src/entry/audit.rs
@@ -11,10 +11,9 @@
 /// Enters the answer of `job` in the record.
 pub(super) fn enter(state: &State, job: &Job) {
     let Some(answer) = job.given() else { return };
-    let list_age = job.admitted.saturating_since(state.listed.get());
     let facts = Facts {
         right: job.right(),
-        list_age_ms: list_age.as_millis() as u64,
+        list_age_ms: job.list_age.get().as_millis() as u64,
         unconfirmed_since: job.view.unconfirmed_since,
     };
     let times = Times {
--- a/crates/bluebellpath/src/entry/doubt.rs
+++ b/crates/bluebellpath/src/entry/doubt.rs
@@ -26,6 +26,7 @@
         id: id.clone(),
         outcome,
         detail: Some(detail.to_owned()),
+        reason: None,
         retry_after_ms: None,
         parts: tasks.iter().map(|it| part(&it.caller)).collect(),
         preset: view.document.preset.clone(),
--- a/crates/bluebellpath/src/entry/job.rs
+++ b/crates/bluebellpath/src/entry/job.rs
@@ -13,7 +13,7 @@
 use super::Planted;
 use crate::{
     config::View,
-    job::{Answer, Digest, Id, Outcome, Part, Submission, TaskId},
+    job::{Answer, Digest, Id, Outcome, Part, Reason, Submission, TaskId},
     owner::Grant,
     platform::Instance,
     record::Right,
@@ -61,13 +61,14 @@
     pub(super) deadline: Instant,
     pub(super) cancelled: Cell<bool>,
     pub(super) grant: Cell<Option<Grant>>,
-    /// When this instance took the job in.
-    pub(super) admitted: Instant,
+    /// Greatest age of the instance list when a task was handed over.
+    pub(super) list_age: Cell<Duration>,
     /// True once this instance has the right to start the job.
     owned: Cell<bool>,
     slots: RefCell<Vec<Slot>>,
     left: Cell<usize>,
     cause: RefCell<Option<Cause>>,
+    reason: Cell<Option<Reason>>,
     answer: RefCell<Option<Rc<Answer>>>,
     verdict: RefCell<Option<Verdict>>,
     done: Notify,
@@ -97,12 +98,13 @@
             deadline: clock::now() + limit.saturating_sub(waited),
             cancelled: Cell::new(false),
             grant: Cell::new(None),
-            admitted: clock::now(),
+            list_age: Cell::default(),
             owned: Cell::new(false),
             left: Cell::new(slots.len()),
             slots: RefCell::new(slots),
             submission,
             cause: RefCell::default(),
+            reason: Cell::new(None),
             answer: RefCell::default(),
             verdict: RefCell::default(),
             done: Notify::new(),
@@ -164,6 +166,11 @@
         running.collect()
     }
 
+    /// Remembers that the job was refused at the door.
+    pub(super) fn set_reason(&self, reason: Reason) {
+        self.reason.set(Some(reason));
+    }
+
     /// Remembers why the job will not be complete; the first cause stays.
     pub(super) fn set_cause(&self, cause: Cause) {
         self.cause.borrow_mut().get_or_insert(cause);
@@ -195,6 +202,7 @@
             id: self.id.clone(),
             outcome,
             detail: detail.filter(|_| outcome != Outcome::Complete),
+            reason: self.reason.get(),
             retry_after_ms: cause.retry_after_ms,
             parts,
             preset: self.view.document.preset.clone(),
--- a/crates/bluebellpath/src/entry/jobs.rs
+++ b/crates/bluebellpath/src/entry/jobs.rs
@@ -51,6 +51,12 @@
         self.by_id.borrow_mut().remove(&job.id);
     }
 
+    /// Jobs without an answer.
+    pub(super) fn unanswered(&self) -> usize {
+        let jobs = self.by_number.borrow();
+        jobs.values().filter(|it| !it.is_answered()).count()
+    }
+
     /// Keeps an answered job until `until`.
     pub(super) fn keep(&self, job: &Job, until: Instant) {
         self.answered.borrow_mut().insert((until, job.number));
--- a/crates/bluebellpath/src/entry/mod.rs
+++ b/crates/bluebellpath/src/entry/mod.rs
@@ -23,6 +23,7 @@
 mod home;
 mod job;
 mod jobs;
+mod lifecycle;
 mod names;
 mod order;
 mod planted;
@@ -36,6 +37,7 @@
 
 pub use config::Config;
 pub use env::Env;
+pub use lifecycle::Work;
 pub use planted::Planted;
 pub use refusal::Refusal;
 
--- a/crates/bluebellpath/src/entry/pump.rs
+++ b/crates/bluebellpath/src/entry/pump.rs
@@ -44,6 +44,8 @@
         let target = state.targets.borrow().get(&assignment.target).cloned();
         match (job, target) {
             (Some(job), Some(target)) => {
+                let list_age = clock::now().saturating_since(state.listed.get());
+                job.list_age.set(job.list_age.get().max(list_age));
                 job.started(assignment.task, target.clone());
                 drop(spawn(start(state.clone(), job, assignment, target)));
             }
@@ -79,6 +81,7 @@
     let task = job.task(assignment.task);
     let fence = Rc::new(Right {
         job: job.clone(),
+        held_until: state.claims.held_until(),
         planted: state.config.planted,
     });
     let start = Start {
--- a/crates/bluebellpath/src/entry/state.rs
+++ b/crates/bluebellpath/src/entry/state.rs
@@ -9,7 +9,7 @@
 use bluebellpath_dispatch::{Dispatcher, TargetId};
 use bluebellpath_runtime::{Instant, Notify, clock};
 
-use super::{Config, Env, jobs::Jobs, names::Names, order::Order};
+use super::{Config, Env, Planted, jobs::Jobs, names::Names, order::Order};
 use crate::{
     owner::{Claims, Tickets},
     peer::{Heartbeat, Identity, Load, Membership, Phase, Source},
@@ -37,6 +37,8 @@
     pub(super) teams: Names,
     pub(super) kinds: Names,
     pub(super) target_names: Names,
+    /// Where the instance stands in its life, as peers and balancers see it.
+    pub(super) phase: Cell<Phase>,
     turns: Cell<usize>,
 }
 
@@ -58,8 +60,10 @@
         let membership = Membership::new(identity, env.link.clone(), config.membership);
         let membership = Rc::new(membership);
         let table = env.table.clone();
-        let claims = Claims::new(table, membership.clone(), config.domains, config.owner);
-        let window = config.owner.max_tickets;
+        let mut owner = config.owner;
+        owner.forget_promises |= config.planted == Some(Planted::ForgetPromise);
+        let claims = Claims::new(table, membership.clone(), config.domains, owner);
+        let window = owner.max_tickets;
         State {
             membership,
             jobs: Jobs::default(),
@@ -74,6 +78,7 @@
             teams: Names::default(),
             kinds: Names::default(),
             target_names: Names::default(),
+            phase: Cell::new(Phase::Serving),
             turns: Cell::new(0),
             config,
             env,
@@ -108,7 +113,7 @@
 impl Source for State {
     fn fill(&self, heartbeat: &mut Heartbeat) {
         let dispatcher = self.dispatcher.borrow();
-        heartbeat.phase = Phase::Serving;
+        heartbeat.phase = self.phase.get();
         heartbeat.config_version = self.env.config.view().version;
         heartbeat.load = Load {
             waiting: dispatcher.waiting() as u32,
--- a/crates/bluebellpath/src/http/error.rs
+++ b/crates/bluebellpath/src/http/error.rs
@@ -37,9 +37,6 @@
     /// Body larger than the limit.
     #[display("body too large")]
     BodyTooLarge,
-    /// Body without a length.
-    #[display("length required")]
-    LengthRequired,
     /// Bytes that are no HTTP.
     #[display("malformed message")]
     Malformed,
--- a/crates/bluebellpath/tests/record.rs
+++ b/crates/bluebellpath/tests/record.rs
@@ -74,6 +74,7 @@
         id: id.parse::<Id>().expect("valid"),
         outcome,
         detail: None,
+        reason: None,
         retry_after_ms: None,
         parts: vec![Part {
             caller: "crew-1".to_owned(),
@@ -490,3 +491,56 @@
         assert_eq!(found, Some(case.finding), "{}", case.name);
     }
 }
+
+/// Whole instances: what a session leaves in the record.
+#[test]
+fn an_old_list_shows_in_the_record() {
+    use bluebellpath::job::{Spec, Submission};
+    use bluebellpath_standin::{Fleet, Layout};
+
+    runtime::paused(async {
+        let fleet = Fleet::start(Layout {
+            domains: 1,
+            entries: 1,
+            ..Layout::default()
+        });
+        clock::sleep(Duration::from_secs(2)).await;
+        let submission = Submission {
+            team: "default".to_owned(),
+            deadline_ms: 2_000,
+            tasks: vec![Spec {
+                caller: "crew-1".to_owned(),
+                kind: "quote".to_owned(),
+                payload: "{\"run_ms\": 1500}".to_owned(),
+                run_time_ms: None,
+                size: 1,
+                idempotent: false,
+            }],
+        };
+        let entry = fleet.members[0].entry();
+        let mut ids: Vec<Id> = Vec::new();
+        for down in [false, true] {
+            fleet.instances.faults().down.set(down);
+            clock::sleep(Duration::from_secs(5)).await;
+            let id = Id::Ticket(entry.ticket());
+            let running = spawn({
+                let (entry, id, submission) = (entry.clone(), id.clone(), submission.clone());
+                async move { entry.submit(id, submission).await }
+            });
+            clock::sleep(Duration::from_millis(100)).await;
+            // A list that comes back before the answer changes nothing.
+            fleet.instances.faults().down.set(false);
+            running.await.expect("alive").expect("admitted");
+            ids.push(id);
+        }
+        clock::sleep(Duration::from_secs(3)).await;
+        let reader = Reader::new(Rc::new(fleet.table.clone()), Rc::new(fleet.objects.clone()));
+        for (id, kept) in ids.iter().zip([true, false]) {
+            let found = reader.find(id).await.expect("up");
+            let entry = found[0].entry.as_ref().expect("recorded");
+            let finding = entry.proofs.iter().find(|it| it.promise == Promise::P6);
+            let finding = finding.expect("all promises").finding;
+            assert_eq!(matches!(finding, Finding::Kept(_)), kept, "{finding}");
+        }
+    });
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! The operators' tool.
 
+mod audit;
 mod demo;
 
 use std::process::ExitCode;
@@ -14,6 +15,7 @@
             let seed = *matches.get_one("seed").expect("clap fills in the default");
             demo::run(&demo::Config { jobs, seed })
         }
+        Some(("audit", matches)) => audit::run(matches),
         _ => ExitCode::FAILURE,
     }
 }
@@ -35,4 +37,5 @@
                 .arg(number("jobs", "60").help("Jobs to submit"))
                 .arg(number("seed", "1").help("Seed of the jobs")),
         )
+        .subcommand(audit::command())
 }
