--- a/crates/bluebellpath/src/entry/mod.rs
+++ b/crates/bluebellpath/src/entry/mod.rs
@@ -25,6 +25,7 @@
 mod jobs;
 mod lifecycle;
 mod names;
+mod observe;
 mod order;
 mod planted;
 mod pump;
--- a/crates/bluebellpath/src/owner/claims.rs
+++ b/crates/bluebellpath/src/owner/claims.rs
@@ -102,6 +102,11 @@
         self.shards.get(self.shard(key)).holder
     }
 
+    /// Shards whose lease this instance holds.
+    pub fn held(&self) -> Vec<u16> {
+        self.shards.held()
+    }
+
     /// Signals that a shard changed hands.
     pub fn changed(&self) -> &Notify {
         &self.shards.changed
@@ -206,6 +211,11 @@
         join_all(released).await;
     }
 
+    /// True once a planned stop hands the shards back.
+    pub fn is_releasing(&self) -> bool {
+        self.releasing.get()
+    }
+
     /// Transactions made so far.
     pub fn transactions(&self) -> u64 {
         self.transactions.get()
--- a/crates/bluebellpath/src/platform/mod.rs
+++ b/crates/bluebellpath/src/platform/mod.rs
@@ -10,6 +10,7 @@
 have.
 */
 
+mod bytes;
 mod error;
 pub mod guard;
 pub mod http;
--- a/crates/bluebellpath/tests/platform_guard.rs
+++ b/crates/bluebellpath/tests/platform_guard.rs
@@ -238,6 +238,7 @@
         let before = count();
         clock::sleep(Duration::from_secs(9)).await;
         let per_s = (count() - before) / 9;
+        println!("seven instances that want 2,800 writes/s send {per_s}");
         assert!((200..=310).contains(&per_s), "{per_s} writes/s");
         let tally = guards[0].tallies().table;
         assert!(tally.crowded > 0, "the rest was refused unsent: {tally:?}");
@@ -280,6 +281,7 @@
             clock::sleep(Duration::from_millis(50)).await;
         }
         let took = clock::now() - mended;
+        println!("{requests} requests in 30 min of outage; first success after {took:?}");
         assert!(took <= Duration::from_millis(1_500), "{took:?}");
     });
 }
@@ -331,6 +333,7 @@
         }
         let tally = platform.guarded.tallies().objects;
         let limit = 10 + tally.requests / 10;
+        println!("{} retries for {} requests", tally.retries, tally.requests);
         assert!(tally.retries <= limit, "{} of {limit}", tally.retries);
         assert!(!failed.is_empty());
     });
--- a/crates/bluebellpath/tests/record.rs
+++ b/crates/bluebellpath/tests/record.rs
@@ -116,6 +116,9 @@
                 record.log.append(entry(&format!("job-{index}")));
             }
             record.log.flush().await.expect("up");
+            let first = record.objects.get(&Batch::name(incarnation(), 1)).await;
+            let bytes = first.expect("up").expect("written").len();
+            println!("{} bytes an entry", bytes / 1_000);
             let reads = || {
                 let (table, objects) = (record.table.faults(), record.objects.faults());
                 table.requests.get() + objects.requests.get()
@@ -395,6 +398,7 @@
             }
             let writes =
                 record.table.faults().requests.get() + record.objects.faults().requests.get();
+            println!("{writes} writes in a minute at {per_s} jobs/s");
             assert!(writes <= most, "{writes} writes at {per_s} jobs/s");
         });
     }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,8 +2,9 @@
 
 mod audit;
 mod demo;
+mod dump;
 
-use std::process::ExitCode;
+use std::{net::SocketAddr, process::ExitCode};
 
 use clap::{Arg, Command, value_parser};
 
@@ -16,6 +17,13 @@
             demo::run(&demo::Config { jobs, seed })
         }
         Some(("audit", matches)) => audit::run(matches),
+        Some(("dump", matches)) => {
+            let entry: &SocketAddr = matches
+                .get_one("entry")
+                .expect("clap requires the argument");
+            let limit = *matches.get_one("limit").expect("clap fills in the default");
+            dump::run(*entry, limit)
+        }
         _ => ExitCode::FAILURE,
     }
 }
@@ -38,4 +46,16 @@
                 .arg(number("seed", "1").help("Seed of the jobs")),
         )
         .subcommand(audit::command())
+        .subcommand(
+            Command::new("dump")
+                .about("Shows the tables of an entry instance")
+                .arg(
+                    Arg::new("entry")
+                        .long("entry")
+                        .help("Address of the instance")
+                        .required(true)
+                        .value_parser(value_parser!(SocketAddr)),
+                )
+                .arg(number("limit", "100").help("Most rows of each table")),
+        )
 }
