--- a/crates/bluebellpath/src/entry/job.rs
+++ b/crates/bluebellpath/src/entry/job.rs
@@ -62,8 +62,8 @@
     pub(super) deadline: Instant,
     pub(super) cancelled: Cell<bool>,
     pub(super) grant: Cell<Option<Grant>>,
-    /// When this instance took the job in.
-    pub(super) admitted: Instant,
+    /// Greatest age of the instance list when a task was handed over.
+    pub(super) list_age: Cell<Duration>,
     /// True once this instance has the right to start the job.
     owned: Cell<bool>,
     slots: RefCell<Vec<Slot>>,
@@ -100,7 +100,7 @@
             deadline: clock::now() + limit.saturating_sub(waited),
             cancelled: Cell::new(false),
             grant: Cell::new(None),
-            admitted: clock::now(),
+            list_age: Cell::default(),
             owned: Cell::new(false),
             left: Cell::new(slots.len()),
             slots: RefCell::new(slots),
--- a/crates/bluebellpath/src/entry/lifecycle.rs
+++ b/crates/bluebellpath/src/entry/lifecycle.rs
@@ -1,8 +1,18 @@
 //! An entry instance's part in its start and its planned stop.
 
+use std::time::Duration;
+
+use bluebellpath_runtime::clock;
+
 use super::Entry;
 use crate::{peer::Phase, platform};
 
+/// Longest time that a planned stop waits for the store to take the record.
+const CLOSE_LIMIT: Duration = Duration::from_secs(5);
+
+/// Pause before the record is closed anew.
+const CLOSE_PAUSE: Duration = Duration::from_millis(200);
+
 /// Work that an entry instance has not finished.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Work {
@@ -44,11 +54,26 @@
     /// record could not be written to its end.
     pub async fn release(&self) -> Result<(), platform::Error> {
         self.release_ownership().await;
+<<<<<<< HEAD
         let written = self.0.record.close().await;
+=======
+        self.close_record().await;
+>>>>>>> peers
         self.0.membership.leave(self.0.as_ref());
         written
     }
 
+    /// Closes the record, unless the store is away for too long; what is not
+    /// written then shows as a chain without a close.
+    async fn close_record(&self) {
+        let closing = async {
+            while self.0.record.close().await.is_err() {
+                clock::sleep(CLOSE_PAUSE).await;
+            }
+        };
+        clock::timeout(CLOSE_LIMIT, closing).await;
+    }
+
     /// Work that is not finished.
     pub fn work(&self) -> Work {
         let dispatcher = self.0.dispatcher.borrow();
--- a/crates/bluebellpath/src/entry/pump.rs
+++ b/crates/bluebellpath/src/entry/pump.rs
@@ -44,6 +44,8 @@
         let target = state.targets.borrow().get(&assignment.target).cloned();
         match (job, target) {
             (Some(job), Some(target)) => {
+                let list_age = clock::now().saturating_since(state.listed.get());
+                job.list_age.set(job.list_age.get().max(list_age));
                 job.started(assignment.task, target.clone());
                 drop(spawn(start(state.clone(), job, assignment, target)));
             }
--- a/crates/bluebellpath/src/platform/table.rs
+++ b/crates/bluebellpath/src/platform/table.rs
@@ -11,6 +11,7 @@
     /// Version, which grows with each write of the row.
     pub version: u64,
     /// Value.
+    #[serde(with = "super::bytes")]
     pub value: Vec<u8>,
 }
 
@@ -42,6 +43,7 @@
     /// Condition; one that fails stops the whole transaction.
     pub expect: Expect,
     /// New value, or `None` to delete the row, or to only check it.
+    #[serde(with = "super::bytes::option")]
     pub value: Option<Vec<u8>>,
 }
 
--- a/crates/bluebellpath/src/record/proof.rs
+++ b/crates/bluebellpath/src/record/proof.rs
@@ -123,7 +123,8 @@
 pub struct Facts {
     /// By what right the instance started the job.
     pub right: Right,
-    /// Age of the instance list at admission, in milliseconds.
+    /// Greatest age of the instance list when a task was handed over, in
+    /// milliseconds.
     pub list_age_ms: u64,
     /// Wall time since when the configuration could not be confirmed.
     pub unconfirmed_since: Option<u64>,
--- a/crates/bluebellpath/tests/record.rs
+++ b/crates/bluebellpath/tests/record.rs
@@ -116,6 +116,9 @@
                 record.log.append(entry(&format!("job-{index}")));
             }
             record.log.flush().await.expect("up");
+            let first = record.objects.get(&Batch::name(incarnation(), 1)).await;
+            let bytes = first.expect("up").expect("written").len();
+            println!("{} bytes an entry", bytes / 1_000);
             let reads = || {
                 let (table, objects) = (record.table.faults(), record.objects.faults());
                 table.requests.get() + objects.requests.get()
@@ -395,6 +398,7 @@
             }
             let writes =
                 record.table.faults().requests.get() + record.objects.faults().requests.get();
+            println!("{writes} writes in a minute at {per_s} jobs/s");
             assert!(writes <= most, "{writes} writes at {per_s} jobs/s");
         });
     }
@@ -491,3 +495,56 @@
         assert_eq!(found, Some(case.finding), "{}", case.name);
     }
 }
+
+/// Whole instances: what a session leaves in the record.
+#[test]
+fn an_old_list_shows_in_the_record() {
+    use bluebellpath::job::{Spec, Submission};
+    use bluebellpath_standin::{Fleet, Layout};
+
+    runtime::paused(async {
+        let fleet = Fleet::start(Layout {
+            domains: 1,
+            entries: 1,
+            ..Layout::default()
+        });
+        clock::sleep(Duration::from_secs(2)).await;
+        let submission = Submission {
+            team: "default".to_owned(),
+            deadline_ms: 2_000,
+            tasks: vec![Spec {
+                caller: "crew-1".to_owned(),
+                kind: "quote".to_owned(),
+                payload: "{\"run_ms\": 1500}".to_owned(),
+                run_time_ms: None,
+                size: 1,
+                idempotent: false,
+            }],
+        };
+        let entry = fleet.members[0].entry();
+        let mut ids: Vec<Id> = Vec::new();
+        for down in [false, true] {
+            fleet.instances.faults().down.set(down);
+            clock::sleep(Duration::from_secs(5)).await;
+            let id = Id::Ticket(entry.ticket());
+            let running = spawn({
+                let (entry, id, submission) = (entry.clone(), id.clone(), submission.clone());
+                async move { entry.submit(id, submission).await }
+            });
+            clock::sleep(Duration::from_millis(100)).await;
+            // A list that comes back before the answer changes nothing.
+            fleet.instances.faults().down.set(false);
+            running.await.expect("alive").expect("admitted");
+            ids.push(id);
+        }
+        clock::sleep(Duration::from_secs(3)).await;
+        let reader = Reader::new(Rc::new(fleet.table.clone()), Rc::new(fleet.objects.clone()));
+        for (id, kept) in ids.iter().zip([true, false]) {
+            let found = reader.find(id).await.expect("up");
+            let entry = found[0].entry.as_ref().expect("recorded");
+            let finding = entry.proofs.iter().find(|it| it.promise == Promise::P6);
+            let finding = finding.expect("all promises").finding;
+            assert_eq!(matches!(finding, Finding::Kept(_)), kept, "{finding}");
+        }
+    });
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! The operators' tool.
 
+mod audit;
 mod demo;
 mod dump;
 mod operate;
@@ -21,6 +22,7 @@
             let seed = *matches.get_one("seed").expect("clap fills in the default");
             demo::run(&demo::Config { jobs, seed })
         }
+        Some(("audit", matches)) => audit::run(matches),
         Some(("dump", matches)) => {
             let entry: &SocketAddr = matches
                 .get_one("entry")
@@ -59,6 +61,7 @@
                 .arg(number("jobs", "60").help("Jobs to submit"))
                 .arg(number("seed", "1").help("Seed of the jobs")),
         )
+        .subcommand(audit::command())
         .subcommand(
             Command::new("dump")
                 .about("Shows the tables of an entry instance")
