Find the skipped fence in seconds

Cause: the session that shows a skipped fence was rare, and the search for it took two minutes on a busy machine. Change: a session may set how long a connection takes; the planted fence fault uses 150 ms, so that pauses strike with a start in hand.

--- a/crates/sessions/src/session.rs
+++ b/crates/sessions/src/session.rs
@@ -21,10 +21,6 @@
 /// Longest delay that a message gets on top of its way.
 const JITTER: Duration = Duration::from_millis(3);
 
-/// Time that a connection to a target takes, long enough for instances to be
-/// paused with a start in hand.
-const CONNECT: Duration = Duration::from_millis(15);
-
 /// Retention of answers in sessions that ask for what was forgotten.
 const SHORT_RETENTION: Duration = Duration::from_secs(1);
 
@@ -40,26 +36,46 @@
     }
 }
 
+/// How a session differs from its case.
+#[derive(Clone, Copy, Debug)]
+pub struct Setup {
+    /// Fault planted in every entry instance.
+    pub planted: Option<Planted>,
+    /// Time that a connection to a target takes.
+    pub connect: Duration,
+}
+
+impl Default for Setup {
+    /// No fault; 15 ms, long enough for instances to be paused with a start in
+    /// hand.
+    fn default() -> Setup {
+        Setup {
+            planted: None,
+            connect: Duration::from_millis(15),
+        }
+    }
+}
+
 /// Plays `case` on a fleet of two domains and checks what came of it.
 pub fn run(case: Case) -> Report {
-    run_planted(case, None)
+    run_with(case, Setup::default())
 }
 
-/// Plays `case` with a fault planted in every entry instance.
-pub fn run_planted(case: Case, planted: Option<Planted>) -> Report {
-    runtime::paused(play(case, planted))
+/// Plays `case` as `setup` has it.
+pub fn run_with(case: Case, setup: Setup) -> Report {
+    runtime::paused(play(case, setup))
 }
 
-async fn play(case: Case, planted: Option<Planted>) -> Report {
+async fn play(case: Case, setup: Setup) -> Report {
     let mut rng = StdRng::seed_from_u64(case.seed);
     let fleet = Fleet::start_with(layout(&case), move |config| {
-        config.planted = planted;
+        config.planted = setup.planted;
         if case.forgets() {
             config.retention = SHORT_RETENTION;
         }
     });
     let fleet = Rc::new(fleet);
-    fleet.targets.set_connect(CONNECT);
+    fleet.targets.set_connect(setup.connect);
     fleet.network.set_jitter(JITTER, rng.random());
     let history = Rc::new(History::default());
     let began = clock::now();
--- a/crates/sessions/tests/planted.rs
+++ b/crates/sessions/tests/planted.rs
@@ -1,7 +1,13 @@
 //! Each checker finds the fault that it is there for.
 
+use std::time::Duration;
+
 use bluebellpath::entry::Planted;
-use bluebellpath_sessions::{Case, Fault, check::Checker, session};
+use bluebellpath_sessions::{
+    Case, Fault,
+    check::Checker,
+    session::{self, Setup},
+};
 
 struct Plant {
     planted: Planted,
@@ -17,7 +23,7 @@
         planted: Planted::SkipFence,
         checker: Checker::Late,
         fault: Some(Fault::Pause),
-        seeds: 0..4_000,
+        seeds: 0..500,
     },
     Plant {
         planted: Planted::ForgetClaim,
@@ -35,7 +41,7 @@
         planted: Planted::ForgetPromise,
         checker: Checker::Once,
         fault: Some(Fault::StoreDown),
-        seeds: 0..2_000,
+        seeds: 0..1_000,
     },
     Plant {
         planted: Planted::ForgetTicket,
@@ -75,6 +81,20 @@
     },
 ];
 
+impl Plant {
+    fn setup(&self) -> Setup {
+        let mut setup = Setup {
+            planted: Some(self.planted),
+            ..Setup::default()
+        };
+        // A pause must strike between the choice of a target and the start.
+        if self.planted == Planted::SkipFence {
+            setup.connect = Duration::from_millis(150);
+        }
+        setup
+    }
+}
+
 #[test]
 fn each_checker_finds_its_planted_fault() {
     for plant in PLANTS {
@@ -84,7 +104,7 @@
                 second: None,
                 seed: *seed,
             });
-            let report = session::run_planted(case, Some(plant.planted));
+            let report = session::run_with(case, plant.setup());
             report
                 .violations
                 .iter()
