--- a/crates/bluebellpath/src/entry/ask.rs
+++ b/crates/bluebellpath/src/entry/ask.rs
@@ -15,7 +15,7 @@
 };
 use crate::{
     job::{Answer, Id},
-    owner::Use,
+    owner::{Lookup, Use},
     peer::Request,
 };
 
@@ -103,10 +103,12 @@
             Use::Used => "the ticket was used; its answer is no longer kept",
             Use::Expired => "the ticket is too old to tell whether it was used",
         },
-        Id::Key(key) => match state.claims.read(key).await {
-            Ok(None) => return Told::Missing,
-            Ok(Some(claimed)) => return Told::Answer(taken::fetched(state, id, &claimed).await),
-            Err(_) => "the store did not say whether the key was used",
+        Id::Key(key) => match state.claims.find(key).await {
+            Lookup::Unused => return Told::Missing,
+            Lookup::Used(claimed) => {
+                return Told::Answer(taken::fetched(state, id, &claimed).await);
+            }
+            Lookup::Unclear => "the store did not say whether the key was used",
         },
     };
     Told::Answer(doubt::unknown(state, id, None, detail))
--- a/crates/bluebellpath/src/entry/home.rs
+++ b/crates/bluebellpath/src/entry/home.rs
@@ -14,7 +14,7 @@
 };
 use crate::{
     job::{Answer, Digest, Id, Key, Outcome, Reason, Submission, Ticket},
-    owner::{Claim, Grant, Use},
+    owner::{Claim, Grant, Lookup, Use},
 };
 
 /// Time after which to ask an instance again that starts, in milliseconds.
@@ -109,9 +109,9 @@
         return Ok(());
     };
     if let Id::Key(key) = id {
-        match state.claims.read(key).await {
-            Ok(None) => {}
-            Ok(Some(claimed)) => {
+        match state.claims.find(key).await {
+            Lookup::Unused => {}
+            Lookup::Used(claimed) => {
                 return Err(
                     match taken::submitted(state, id, submission, &claimed).await {
                         Ok(answer) => Settled::Answer(answer),
@@ -119,7 +119,7 @@
                     },
                 );
             }
-            Err(_) => {
+            Lookup::Unclear => {
                 return Err(unknown(
                     "it can't run now; whether it ran before is not known",
                 ));
--- a/crates/bluebellpath/src/entry/lifecycle.rs
+++ b/crates/bluebellpath/src/entry/lifecycle.rs
@@ -53,25 +53,24 @@
     /// the shards of keys, the record, and word to the peers. Errs when the
     /// record could not be written to its end.
     pub async fn release(&self) -> Result<(), platform::Error> {
-        self.release_ownership().await;
-<<<<<<< HEAD
-        let written = self.0.record.close().await;
-=======
-        self.close_record().await;
->>>>>>> peers
+        // Without the store, leases lapse by themselves.
+        clock::timeout(CLOSE_LIMIT, self.release_ownership()).await;
+        let written = self.close_record().await;
         self.0.membership.leave(self.0.as_ref());
         written
     }
 
     /// Closes the record, unless the store is away for too long; what is not
     /// written then shows as a chain without a close.
-    async fn close_record(&self) {
-        let closing = async {
-            while self.0.record.close().await.is_err() {
-                clock::sleep(CLOSE_PAUSE).await;
+    async fn close_record(&self) -> Result<(), platform::Error> {
+        let deadline = clock::now() + CLOSE_LIMIT;
+        loop {
+            let closed = self.0.record.close().await;
+            if closed.is_ok() || clock::now() >= deadline {
+                return closed;
             }
-        };
-        clock::timeout(CLOSE_LIMIT, closing).await;
+            clock::sleep(CLOSE_PAUSE).await;
+        }
     }
 
     /// Work that is not finished.
--- a/crates/bluebellpath/src/entry/state.rs
+++ b/crates/bluebellpath/src/entry/state.rs
@@ -125,10 +125,10 @@
     fn fill(&self, heartbeat: &mut Heartbeat) {
         let dispatcher = self.dispatcher.borrow();
         let config = &self.env.config;
-        heartbeat.phase = match self.claims.is_releasing() {
-            true => Phase::Draining,
-            false if !config.is_ready() => Phase::Starting,
-            false => self.phase.get(),
+        heartbeat.phase = match self.phase.get() {
+            Phase::Serving if self.claims.is_releasing() => Phase::Draining,
+            Phase::Serving if !config.is_ready() => Phase::Starting,
+            phase => phase,
         };
         heartbeat.config_version = config.newest();
         heartbeat.config_read_ms = config.read_ms();
--- a/crates/bluebellpath/src/owner/hold.rs
+++ b/crates/bluebellpath/src/owner/hold.rs
@@ -60,11 +60,27 @@
         self.owed.borrow().len()
     }
 
-    fn begin(&self, term: u64) {
+    /// Begins an outage; claims of an earlier one that are still to be written
+    /// are told anew.
+    fn begin(&self, term: u64, batch: &[Pending]) {
         self.term.set(term);
-        self.claims.borrow_mut().clear();
+        let owed = self.owed.borrow();
+        let unwritten: BTreeSet<&Key> = batch
+            .iter()
+            .chain(owed.iter())
+            .filter_map(Pending::key)
+            .collect();
+        let mut claims = self.claims.borrow_mut();
+        claims.retain(|it| unwritten.contains(&it.key));
         self.acknowledged.borrow_mut().clear();
     }
+
+    /// Claim of `key` that stands, or stood, in memory.
+    pub(super) fn find(&self, key: &Key) -> Option<Claimed> {
+        let claims = self.claims.borrow();
+        let held = claims.iter().find(|it| it.key == *key)?;
+        Some(held.claimed.clone())
+    }
 }
 
 /// Grants claims by promises of the peers, for as long as it is polled.
@@ -73,7 +89,7 @@
 /// the queue and are owed to the table.
 pub(super) async fn run(claims: &Claims, batch: &[Pending]) {
     let state = &claims.hold;
-    state.begin(claims.operation());
+    state.begin(claims.operation(), batch);
     loop {
         let arrived = claims.queue.arrived.notified();
         let room = claims.config.max_pending.saturating_sub(state.len());
--- a/crates/bluebellpath/src/owner/mod.rs
+++ b/crates/bluebellpath/src/owner/mod.rs
@@ -46,7 +46,7 @@
 mod writer;
 
 pub use account::Account;
-pub use claim::{Claim, Claimed, Grant};
+pub use claim::{Claim, Claimed, Grant, Lookup};
 pub use claims::Claims;
 pub use config::Config;
 pub use promise::{Held, Hold, Holding, Promise};
