--- /dev/null
+++ b/crates/bluebellpath/src/entry/credit.rs
@@ -0,0 +1,235 @@
+/*!
+This instance's slots of the domain's targets, shared with its peers.
+
+The [`Ledger`] travels on heartbeats: each one that is sent says what is held
+here, each one that comes may bring slots. What the ledger allows becomes the
+credit of the dispatcher's targets. An instance that was paused for longer than
+its peers wait for it gives up all slots before it starts anything.
+*/
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use bluebellpath_dispatch::{Account, Finding, Ledger, Notice, Slots, Target};
+use bluebellpath_runtime::{Instant, clock};
+
+use super::{policy, state::State};
+use crate::{
+    job::Incarnation,
+    peer::{Peer, Phase, Suspect},
+    platform::{self, Instance},
+};
+
+/// Time between two looks at the slots, when no peer says anything.
+const TICK: Duration = Duration::from_millis(100);
+/// Time before a heartbeat in which slots are set aside for it.
+const LEAD: Duration = Duration::from_millis(300);
+
+/// Slots that this instance holds, with what it takes to share them.
+pub(super) struct Credit {
+    ledger: RefCell<Ledger>,
+    /// Targets by fingerprint, in the order of the ledger.
+    targets: RefCell<BTreeMap<u32, Target>>,
+    /// Listed peers, since when.
+    listed: RefCell<BTreeMap<SocketAddr, Instant>>,
+    /// Last heartbeat of each peer that was taken in.
+    heard: RefCell<BTreeMap<Account, u64>>,
+    read: Cell<bool>,
+    beat: Cell<Instant>,
+}
+
+impl Credit {
+    /// Nothing held yet by `incarnation`.
+    pub(super) fn new(incarnation: Incarnation) -> Credit {
+        Credit {
+            ledger: RefCell::new(Ledger::new(account(incarnation))),
+            targets: RefCell::default(),
+            listed: RefCell::default(),
+            heard: RefCell::default(),
+            read: Cell::new(false),
+            beat: Cell::new(clock::now()),
+        }
+    }
+
+    /// Takes in the targets of the instance list.
+    pub(super) fn observe(&self, state: &State, targets: &[Instance]) {
+        let target = |it: &Instance| {
+            let slots = it.slots.min(it.connections);
+            let target = Target {
+                id: bluebellpath_dispatch::TargetId(state.target_names.number(&it.name)),
+                slots,
+                credit: 0,
+                rack: it.rack,
+                leaving: it.state == platform::State::Leaving,
+            };
+            (fingerprint(&it.name), target)
+        };
+        let targets: BTreeMap<u32, Target> = targets.iter().map(target).collect();
+        let slots = targets.iter().map(|(target, it)| Slots {
+            target: *target,
+            slots: it.slots,
+        });
+        self.ledger.borrow_mut().set_targets(slots);
+        *self.targets.borrow_mut() = targets;
+        self.note_listed(state);
+        self.read.set(true);
+        self.share(state);
+    }
+
+    /// What to tell in the heartbeat that is being sent.
+    pub(super) fn notice(&self, state: &State) -> Notice {
+        let now = clock::now();
+        self.lapse_if_late(state);
+        self.beat.set(now);
+        self.hear(state);
+        let notice = {
+            let dispatcher = state.dispatcher.borrow();
+            let targets = self.targets.borrow();
+            let used = |target: u32| targets.get(&target).map_or(0, |it| dispatcher.used(it.id));
+            let demand = (dispatcher.waiting() + dispatcher.running()) as u32;
+            self.ledger.borrow_mut().beat(now, demand, used)
+        };
+        self.apply(state);
+        notice
+    }
+
+    /// Gives up all slots when peers may have taken them over.
+    pub(super) fn lapse_if_late(&self, state: &State) {
+        if clock::now() - self.beat.get() < state.config.membership.timeout {
+            return;
+        }
+        self.ledger.borrow_mut().lapse();
+        self.heard.borrow_mut().clear();
+        self.beat.set(clock::now());
+        self.apply(state);
+    }
+
+    /// Takes in what peers said, claims and sets aside slots.
+    fn share(&self, state: &State) {
+        self.hear(state);
+        let now = clock::now();
+        {
+            let mut ledger = self.ledger.borrow_mut();
+            ledger.claim(now);
+            if now - self.beat.get() + LEAD >= state.config.membership.interval {
+                ledger.reserve();
+            }
+        }
+        self.apply(state);
+    }
+
+    fn hear(&self, state: &State) {
+        let peers = state.membership.peers();
+        let mut ledger = self.ledger.borrow_mut();
+        let mut heard = self.heard.borrow_mut();
+        for peer in &peers {
+            let account = account(peer.identity.incarnation);
+            let sequence = peer.heartbeat.sequence;
+            if heard.insert(account, sequence) != Some(sequence) {
+                ledger.hear(account, peer.heartbeat.credit.clone());
+                take_suspects(state, &peer.heartbeat.suspects);
+            }
+        }
+        let live: BTreeSet<Account> = peers
+            .iter()
+            .map(|it| account(it.identity.incarnation))
+            .collect();
+        heard.retain(|it, _| live.contains(it));
+        ledger.keep(&live);
+        ledger.set_complete(self.is_complete(state, &peers));
+    }
+
+    /// True when no listed peer is still to be heard of.
+    fn is_complete(&self, state: &State, peers: &[Rc<Peer>]) -> bool {
+        let timeout = state.config.membership.timeout;
+        let known = |it: &SocketAddr| {
+            peers
+                .iter()
+                .any(|peer| peer.identity.address == *it && peer.heartbeat.phase != Phase::Left)
+        };
+        let listed = self.listed.borrow();
+        let awaited = |(address, since): (&SocketAddr, &Instant)| {
+            !known(address) && clock::now() - *since < timeout
+        };
+        self.read.get() && !listed.iter().any(awaited)
+    }
+
+    fn note_listed(&self, state: &State) {
+        let now = clock::now();
+        let listed = state.membership.entries(state.config.domain);
+        let mut since = self.listed.borrow_mut();
+        since.retain(|it, _| listed.contains(it));
+        for address in listed {
+            since.entry(address).or_insert(now);
+        }
+    }
+
+    /// Hands what the ledger allows to the dispatcher.
+    fn apply(&self, state: &State) {
+        let now = clock::now();
+        let ledger = self.ledger.borrow();
+        let mut dispatcher = state.dispatcher.borrow_mut();
+        for (fingerprint, target) in self.targets.borrow().iter() {
+            let credit = ledger.credit(*fingerprint);
+            dispatcher.set_target(Target { credit, ..*target }, now);
+        }
+        drop(dispatcher);
+        state.work.notify();
+    }
+}
+
+/// Keeps the slots shared, for ever.
+pub(super) async fn run(state: Rc<State>) {
+    loop {
+        let changed = state.membership.changed().notified();
+        policy::follow(&state);
+        state.credit.lapse_if_late(&state);
+        state.credit.share(&state);
+        clock::timeout(TICK, changed).await;
+    }
+}
+
+/// Targets that this instance has found reason to avoid.
+pub(super) fn suspects(state: &State) -> Vec<Suspect> {
+    let targets = state.targets.borrow();
+    let dispatcher = state.dispatcher.borrow();
+    let suspect = |(id, finding, excess): (_, Finding, f64)| {
+        let slowness_permille = match finding {
+            Finding::Straggling => (excess * 1000.0) as u32,
+            Finding::Unreachable | Finding::Failing | Finding::Hanging => u32::MAX,
+        };
+        Some(Suspect {
+            target: targets.get(&id)?.name.clone(),
+            slowness_permille,
+        })
+    };
+    dispatcher.findings().filter_map(suspect).collect()
+}
+
+fn take_suspects(state: &State, suspects: &[Suspect]) {
+    let now = clock::now();
+    let mut dispatcher = state.dispatcher.borrow_mut();
+    for suspect in suspects {
+        let id = bluebellpath_dispatch::TargetId(state.target_names.number(&suspect.target));
+        let finding = match suspect.slowness_permille {
+            u32::MAX => Finding::Failing,
+            _ => Finding::Straggling,
+        };
+        dispatcher.suspect(id, finding, now);
+    }
+}
+
+fn account(incarnation: Incarnation) -> Account {
+    Account(incarnation.to_u64())
+}
+
+fn fingerprint(name: &str) -> u32 {
+    let hash = blake3::hash(name.as_bytes());
+    let [a, b, c, d, ..] = *hash.as_bytes();
+    u32::from_le_bytes([a, b, c, d])
+}
--- a/crates/bluebellpath/src/entry/mod.rs
+++ b/crates/bluebellpath/src/entry/mod.rs
@@ -11,10 +11,12 @@
 */
 
 mod config;
+mod credit;
 mod env;
 mod job;
 mod jobs;
 mod names;
+mod policy;
 mod pump;
 mod refusal;
 mod serve;
@@ -50,6 +52,7 @@
         drop(bluebellpath_runtime::spawn(
             state.membership.clone().run(state),
         ));
+        drop(bluebellpath_runtime::spawn(credit::run(self.0.clone())));
         drop(bluebellpath_runtime::spawn(pump::run(self.0.clone())));
         drop(bluebellpath_runtime::spawn(pump::follow_targets(
             self.0.clone(),
--- /dev/null
+++ b/crates/bluebellpath/src/entry/policy.rs
@@ -0,0 +1,42 @@
+//! The dispatcher's policy and teams, after the configuration in force.
+
+use bluebellpath_dispatch::{Policy, Team, TeamId};
+
+use super::state::State;
+use crate::config::{Document, Preset};
+
+/// Brings the dispatcher's policy and teams up to date.
+pub(super) fn follow(state: &State) {
+    let view = state.env.config.view();
+    let instances = state.membership.peers().len() as u32 + 1;
+    let in_force = (view.version, instances);
+    if state.tuned.replace(Some(in_force)) == Some(in_force) {
+        return;
+    }
+    let mut dispatcher = state.dispatcher.borrow_mut();
+    dispatcher.set_policy(policy(&view.document));
+    // A team's quota is for all domains; callers come to each alike.
+    let parts = f64::from(instances) * f64::from(state.config.domains.max(1));
+    for team in &view.document.teams {
+        let id = TeamId(state.teams.number(&team.name));
+        let part = Team {
+            weight: team.weight,
+            sustained_per_s: f64::from(team.sustained_per_s) / parts,
+            burst: f64::from(team.burst) / parts,
+        };
+        dispatcher.set_team(id, part);
+    }
+}
+
+fn policy(document: &Document) -> Policy {
+    let base = Policy::of_preset(&document.preset);
+    let in_force = |it: &&Preset| it.name == document.preset;
+    match document.presets.iter().find(in_force) {
+        Some(preset) => Policy {
+            max_attempts: preset.max_attempts,
+            max_waiting: preset.max_waiting as usize,
+            ..base
+        },
+        None => base,
+    }
+}
--- a/crates/bluebellpath/src/entry/pump.rs
+++ b/crates/bluebellpath/src/entry/pump.rs
@@ -1,6 +1,6 @@
 //! Starts what the dispatcher assigns and takes in how it ended.
 
-use std::{rc::Rc, time::Duration};
+use std::{collections::BTreeSet, rc::Rc, time::Duration};
 
 use bluebellpath_dispatch::{self as dispatch, Assignment, Dropped, Next, NotStarted, Report};
 use bluebellpath_runtime::{clock, spawn};
@@ -13,7 +13,7 @@
 };
 use crate::{
     job::Outcome,
-    platform::{self, Instance, Role},
+    platform::{Instance, Role},
     record,
     target::{self, Fault, Open, Reason, Start, Status},
 };
@@ -22,9 +22,10 @@
 pub(super) async fn run(state: Rc<State>) {
     loop {
         let work = state.work.notified();
-        start_all(&state);
         expire(&state);
-        let expiry = state.dispatcher.borrow().next_expiry();
+        state.credit.lapse_if_late(&state);
+        start_all(&state);
+        let expiry = state.dispatcher.borrow().next_expiry(clock::now());
         match expiry {
             Some(expiry) => {
                 let work = std::pin::pin!(work);
@@ -92,22 +93,33 @@
     if report(&state, assignment, ending, elapsed) == Next::Requeued {
         job.requeued(assignment.task);
     } else {
+        let failed = task_ending.outcome != Outcome::Complete;
         end(&state, &job, assignment.task, task_ending);
+        if failed {
+            abandon(&state, &job);
+        }
     }
     state.work.notify();
 }
 
+/// Drops what waits of a job that can't be answered whole any more.
+fn abandon(state: &State, job: &Job) {
+    let dropped = state.dispatcher.borrow_mut().cancel(job.number);
+    not_run(state, &dropped, "another task of the job came to nothing");
+}
+
 fn report(
     state: &State,
     assignment: Assignment,
     ending: dispatch::Ending,
     elapsed: Duration,
 ) -> Next {
-    state.dispatcher.borrow_mut().finish(Report {
+    let report = Report {
         assignment,
         ending,
         elapsed,
-    })
+    };
+    state.dispatcher.borrow_mut().finish(report, clock::now())
 }
 
 fn endings(
@@ -205,6 +217,11 @@
     let dropped = state.dispatcher.borrow_mut().cancel(job.number);
     not_run(state, &dropped, "cancelled");
     for (index, target) in job.running() {
+        let dispatcher = state.dispatcher.borrow();
+        if !dispatcher.should_stop(job.number, index, clock::now()) {
+            continue;
+        }
+        drop(dispatcher);
         let (state, task) = (state.clone(), job.task(index));
         drop(spawn(async move {
             if let Err(error) = state.env.targets.stop(&target, &task).await {
@@ -216,11 +233,15 @@
 
 /// Keeps the dispatcher's targets as the instance list has them.
 pub(super) async fn follow_targets(state: Rc<State>) {
+    let mut first = true;
     loop {
         match state.env.instances.instances().await {
             Ok(instances) => {
                 state.membership.observe(&instances);
                 set_targets(&state, instances);
+                if std::mem::take(&mut first) {
+                    state.membership.greet(state.as_ref());
+                }
             }
             Err(error) => warn!(state.env.log, "no instance list"; "error" => %error),
         }
@@ -230,29 +251,15 @@
 
 fn set_targets(state: &State, instances: Vec<Instance>) {
     let ours = |it: &Instance| it.role == Role::Target && it.domain == state.config.domain;
-    let mut listed = std::collections::HashMap::new();
-    for instance in instances.into_iter().filter(ours) {
-        let id = dispatch::TargetId(state.target_names.number(&instance.name));
-        let target = dispatch::Target {
-            id,
-            slots: instance.slots,
-            credit: instance.slots.min(instance.connections),
-            rack: instance.rack,
-            leaving: instance.state == platform::State::Leaving,
-        };
-        state.dispatcher.borrow_mut().set_target(target);
-        listed.insert(id, Rc::new(instance));
+    let listed: Vec<Instance> = instances.into_iter().filter(ours).collect();
+    let id = |it: &Instance| dispatch::TargetId(state.target_names.number(&it.name));
+    let ids: BTreeSet<dispatch::TargetId> = listed.iter().map(id).collect();
+    let mut gone: Vec<_> = state.targets.borrow().keys().copied().collect();
+    gone.sort_unstable();
+    for target in gone.into_iter().filter(|it| !ids.contains(it)) {
+        state.dispatcher.borrow_mut().remove_target(target);
     }
-    let gone: Vec<_> = state
-        .targets
-        .borrow()
-        .keys()
-        .filter(|it| !listed.contains_key(it))
-        .copied()
-        .collect();
-    for id in gone {
-        state.dispatcher.borrow_mut().remove_target(id);
-    }
-    *state.targets.borrow_mut() = listed;
-    state.work.notify();
+    let targets = listed.iter().map(|it| (id(it), Rc::new(it.clone())));
+    *state.targets.borrow_mut() = targets.collect();
+    state.credit.observe(state, &listed);
 }
--- a/crates/bluebellpath/src/entry/state.rs
+++ b/crates/bluebellpath/src/entry/state.rs
@@ -9,7 +9,12 @@
 use bluebellpath_dispatch::{Dispatcher, TargetId};
 use bluebellpath_runtime::Notify;
 
-use super::{Config, Env, jobs::Jobs, names::Names};
+use super::{
+    Config, Env,
+    credit::{self, Credit},
+    jobs::Jobs,
+    names::Names,
+};
 use crate::{
     job::Ticket,
     owner::Claims,
@@ -27,6 +32,10 @@
     pub(super) claims: Claims,
     pub(super) record: Log,
     pub(super) dispatcher: RefCell<Dispatcher>,
+    pub(super) credit: Credit,
+    /// Configuration version and number of instances that the dispatcher was
+    /// last tuned for.
+    pub(super) tuned: Cell<Option<(u64, u32)>>,
     /// Signals that the dispatcher may have something to start.
     pub(super) work: Notify,
     pub(super) targets: RefCell<HashMap<TargetId, Rc<Instance>>>,
@@ -51,6 +60,8 @@
             claims: Claims::new(env.table.clone(), config.incarnation),
             record: Log::new(),
             dispatcher: RefCell::new(Dispatcher::new(Default::default())),
+            credit: Credit::new(config.incarnation),
+            tuned: Cell::new(None),
             work: Notify::new(),
             targets: RefCell::default(),
             teams: Names::default(),
@@ -81,6 +92,8 @@
 
 impl Source for State {
     fn fill(&self, heartbeat: &mut Heartbeat) {
+        heartbeat.credit = self.credit.notice(self);
+        heartbeat.suspects = credit::suspects(self);
         let dispatcher = self.dispatcher.borrow();
         heartbeat.phase = Phase::Serving;
         heartbeat.config_version = self.env.config.view().version;
--- a/crates/bluebellpath/src/entry/submit.rs
+++ b/crates/bluebellpath/src/entry/submit.rs
@@ -95,11 +95,17 @@
         kind: KindId(state.kinds.number(&it.kind)),
         size: it.size,
         declared: it.run_time_ms.map(Duration::from_millis),
+        idempotent: it.idempotent,
     };
     let queued = dispatch::Job {
         id: job.number,
         team: TeamId(state.teams.number(&submission.team)),
         deadline: job.submitted + Duration::from_millis(submission.deadline_ms),
+        bytes: submission
+            .tasks
+            .iter()
+            .map(|it| it.payload.len() as u64)
+            .sum(),
         tasks: submission.tasks.iter().enumerate().map(task).collect(),
     };
     let submitted = state.dispatcher.borrow_mut().submit(queued, clock::now());
--- a/crates/bluebellpath/src/peer/heartbeat.rs
+++ b/crates/bluebellpath/src/peer/heartbeat.rs
@@ -1,5 +1,6 @@
 //! What entry instances of a domain tell each other all the time.
 
+use bluebellpath_dispatch::Notice;
 use serde::{Deserialize, Serialize};
 
 use super::Identity;
@@ -53,6 +54,8 @@
     pub load: Load,
     /// Targets that the sender has found reason to avoid.
     pub suspects: Vec<Suspect>,
+    /// Slots of targets that the sender holds.
+    pub credit: Notice,
 }
 
 impl Heartbeat {
@@ -66,6 +69,7 @@
             config_read_ms: None,
             load: Load::default(),
             suspects: Vec::new(),
+            credit: Notice::default(),
         }
     }
 }
--- a/crates/bluebellpath/src/peer/membership.rs
+++ b/crates/bluebellpath/src/peer/membership.rs
@@ -201,6 +201,12 @@
         }
     }
 
+    /// Tells the peers of this turn at once, for an instance that has just read
+    /// its first list.
+    pub(crate) fn greet(&self, source: &dyn Source) {
+        self.beat(source);
+    }
+
     /// Tells all peers that this instance stops now.
     pub fn leave(&self, source: &dyn Source) {
         let mut gossip = self.compose(source, 1, false);
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -27,6 +27,8 @@
     pub size: u32,
     /// Run time that the caller declared.
     pub declared: Option<Duration>,
+    /// May run twice without harm, so it may go to a target in doubt.
+    pub idempotent: bool,
 }
 
 /// Job with its tasks.
@@ -38,6 +40,8 @@
     pub team: TeamId,
     /// Time after which the answer is of no use.
     pub deadline: Instant,
+    /// Bytes of input that wait with it.
+    pub bytes: u64,
     /// Tasks, all of which must run.
     pub tasks: Vec<Task>,
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,15 +9,31 @@
 */
 
 mod assignment;
+mod budget;
 mod dispatcher;
+mod estimate;
+mod health;
+mod inflow;
 mod job;
+mod ledger;
+mod notice;
+mod policy;
+mod pool;
+mod queue;
 mod refusal;
 mod report;
 mod target;
+mod team;
 
 pub use assignment::Assignment;
-pub use dispatcher::{Config, Dispatcher};
+pub use dispatcher::Dispatcher;
+pub use estimate::Sketch;
+pub use health::Finding;
 pub use job::{Dropped, Job, JobId, KindId, Task, TeamId};
+pub use ledger::Ledger;
+pub use notice::{Account, Gift, Notice, Receipt, Slots};
+pub use policy::Policy;
 pub use refusal::{Reason, Refusal};
 pub use report::{Ending, Next, NotStarted, Report};
 pub use target::{Target, TargetId};
+pub use team::Team;
