--- a/crates/bench/src/steady.rs
+++ b/crates/bench/src/steady.rs
@@ -58,6 +58,9 @@
         };
         let slots = (targets * SLOTS) as usize;
         (0..slots + WAITING).for_each(|_| steady.submit());
+        while let Some(assignment) = steady.decide() {
+            steady.started(Some(assignment));
+        }
         for _ in 0..20_000 {
             steady.step();
         }
@@ -89,6 +92,11 @@
         self.running.extend(assignment);
     }
 
+    /// Tasks that run.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
     /// Tasks that wait.
     pub fn waiting(&self) -> usize {
         self.dispatcher.waiting()
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -286,11 +286,16 @@
     fn choose(&self, now: Instant) -> Option<(JobId, usize, Choice)> {
         let choice = self.pool.choose(1)?;
         let mut ahead = 0.0;
-        for queued in self.queue.iter().take(LOOK_AHEAD) {
+        for (index, queued) in self.queue.iter().take(LOOK_AHEAD).enumerate() {
             if queued.deadline <= now {
                 continue;
             }
             ahead += queued.work;
+            if index + 1 == LOOK_AHEAD {
+                // Stands for all that waits behind it as well, so that slow
+                // slots don't stay free while there is much to do.
+                ahead = self.queue.work_ahead() + self.queue.work_behind();
+            }
             let place = self.place(queued, &choice);
             let pending = &queued.tasks[place];
             let fitting = match pending.task.size {
--- a/crates/dispatch/src/ledger.rs
+++ b/crates/dispatch/src/ledger.rs
@@ -9,7 +9,8 @@
 
 Slots that nobody holds, at the start and after a crash, fall to those who hold
 less than an even part, in an order that is the same for all who see the same
-live instances: a claim waits until every peer's heartbeat shows that same view.
+live instances: a claim waits until every peer's heartbeat shows that same view,
+and no slots are given until every peer has settled its claims in it.
 A crashed instance is
 out of the view after its heartbeat timeout. One that was only paused must call
 [`Ledger::lapse`] before it goes on. Two sides of a cut inside a domain may each
@@ -26,9 +27,11 @@
 
 use crate::notice::{Account, Gift, Notice, Receipt, Slots};
 
-/// Time for which slots must look unheld before they are claimed, when a third
-/// instance may have given them to a fourth in the meantime.
-const SETTLE: Duration = Duration::from_millis(1200);
+/// Time for which a view must be common before slots are claimed, so that gifts
+/// of earlier views have arrived; three heartbeats.
+const SETTLE: Duration = Duration::from_millis(1600);
+/// Time after which a sum that looks wrong is settled anew.
+const DOUBT: Duration = Duration::from_secs(6);
 /// Part of all slots that is shared evenly, whatever the demand.
 const EVEN: f64 = 0.3;
 /// Part of its base that an instance keeps free when it lends.
@@ -50,10 +53,6 @@
 
 struct Peer {
     notice: Notice,
-    /// Last gift taken over from it.
-    taken: u64,
-    /// Demand in the long run.
-    lasting: f64,
 }
 
 /// Slots that one instance holds, and what it knows of its peers' slots.
@@ -67,11 +66,22 @@
     gifts: Vec<Gift>,
     number: u64,
     peers: BTreeMap<Account, Peer>,
+    /// Last gift taken over from each instance, also from those that have gone
+    /// and may yet be heard of again.
+    taken: BTreeMap<Account, u64>,
     complete: bool,
-    unheld_since: BTreeMap<u32, Instant>,
+    lapses: u32,
+    /// View for which the following hold.
+    seen: u64,
+    settled: bool,
+    /// Since when all peers have had this view.
+    common: Option<Instant>,
+    /// Since when the sum of what is held has looked wrong.
+    doubtful: Option<Instant>,
     demand: f64,
     /// Demand in the long run.
     lasting: f64,
+    beats: u64,
 }
 
 impl Ledger {
@@ -85,10 +95,16 @@
             gifts: Vec::new(),
             number: 0,
             peers: BTreeMap::new(),
+            taken: BTreeMap::new(),
             complete: false,
-            unheld_since: BTreeMap::new(),
+            lapses: 0,
+            seen: 0,
+            settled: false,
+            common: None,
+            doubtful: None,
             demand: 0.0,
             lasting: 0.0,
+            beats: 0,
         }
     }
 
@@ -109,15 +125,13 @@
     pub fn hear(&mut self, from: Account, notice: Notice) {
         let peer = self.peers.entry(from).or_insert_with(|| Peer {
             notice: Notice::default(),
-            taken: 0,
-            lasting: f64::from(notice.demand),
         });
-        peer.lasting += LASTING * (f64::from(notice.demand) - peer.lasting);
+        let taken = self.taken.entry(from).or_default();
         for gift in &notice.gifts {
-            if gift.to != self.me || gift.number <= peer.taken {
+            if gift.to != self.me || gift.number <= *taken {
                 continue;
             }
-            peer.taken = gift.number;
+            *taken = gift.number;
             for it in &gift.slots {
                 *self.held.entry(it.target).or_default() += it.slots;
             }
@@ -141,8 +155,8 @@
         self.reserved.clear();
         self.gifts.clear();
         self.peers.clear();
-        self.unheld_since.clear();
-        self.complete = false;
+        (self.seen, self.settled, self.complete) = (0, false, false);
+        self.lapses += 1;
     }
 
     /// Slots of `target` that this instance may use now.
@@ -153,33 +167,26 @@
         held.min(slots).saturating_sub(reserved)
     }
 
-    /// Claims what nobody holds, if this instance is its custodian and all
-    /// peers see the same instances.
+    /// Takes this instance's part of what nobody holds and gives up its part of
+    /// what is held twice, once in each view that all peers have in common.
     pub fn claim(&mut self, now: Instant) {
+        let view = self.view();
+        if view != self.seen {
+            (self.seen, self.settled, self.common) = (view, false, None);
+        }
         if !self.complete || !self.is_common() {
-            self.unheld_since.clear();
+            self.common = None;
             return;
         }
+        let common = *self.common.get_or_insert(now);
         let members = self.members();
-        let at_once = members.len() <= 2 || self.is_still();
-        let targets: Vec<(u32, u32)> = self.targets.iter().map(|(a, b)| (*a, *b)).collect();
-        for (index, (target, slots)) in targets.into_iter().enumerate() {
-            let target = Place {
-                index,
-                target,
-                slots,
-            };
-            self.give_up_excess(&target, &members);
-            let part = self.part(&target, &members);
-            if part == 0 {
-                self.unheld_since.remove(&target.target);
-                continue;
-            }
-            let since = *self.unheld_since.entry(target.target).or_insert(now);
-            if at_once || now - since >= SETTLE {
-                self.unheld_since.remove(&target.target);
-                *self.held.entry(target.target).or_default() += part;
-            }
+        if self.settled {
+            self.doubt(now, &members);
+            return;
+        }
+        let at_once = members.len() <= 2 || self.is_fresh();
+        if at_once || now - common >= SETTLE {
+            self.settle(&members);
         }
     }
 
@@ -189,14 +196,20 @@
     /// `demand` the slots that it could use now.
     pub fn beat(&mut self, now: Instant, demand: u32, used: impl Fn(u32) -> u32) -> Notice {
         self.demand = f64::from(demand);
-        self.lasting += LASTING * (self.demand - self.lasting);
+        let first = self.beats == 0;
+        self.beats += 1;
+        let weight = if first { 1.0 } else { LASTING };
+        self.lasting += weight * (self.demand - self.lasting);
         self.claim(now);
         self.reserve();
         self.give(&used);
         self.reserved.clear();
         Notice {
             view: self.view(),
+            lapses: self.lapses,
+            settled: self.settled,
             demand: self.demand as u32,
+            lasting: (self.lasting * 100.0) as u32,
             held: self.listed(),
             gifts: self.gifts.clone(),
             receipts: self.receipts(),
@@ -212,7 +225,13 @@
 
     fn view(&self) -> u64 {
         let mix = |digest: u64, it: Account| (digest ^ it.0).wrapping_mul(MIX).rotate_left(29);
-        let members = self.members().into_iter().fold(MIX, mix);
+        // A peer that has not heard of a lapse is in an earlier view.
+        let lapses = |it: Account| match self.peers.get(&it) {
+            Some(peer) => peer.notice.lapses,
+            None => self.lapses,
+        };
+        let member = |digest, it| mix(mix(digest, it), Account(u64::from(lapses(it))));
+        let members = self.members().into_iter().fold(MIX, member);
         let targets = self.targets.iter();
         let target = |it: (&u32, &u32)| Account(u64::from(*it.0) << 32 | u64::from(*it.1));
         targets.map(target).fold(members, mix)
@@ -224,10 +243,47 @@
         self.peers.values().all(|it| it.notice.view == view)
     }
 
-    /// True when no slots are on their way between peers.
-    fn is_still(&self) -> bool {
-        let still = |it: &Peer| it.notice.gifts.is_empty();
-        self.gifts.is_empty() && self.peers.values().all(still)
+    fn settle(&mut self, members: &[Account]) {
+        for target in self.places() {
+            self.give_up_excess(&target, members);
+            let part = self.part(&target, members);
+            *self.held.entry(target.target).or_default() += part;
+        }
+        (self.settled, self.doubtful) = (true, None);
+    }
+
+    /// Settles anew when the sum has been wrong for long.
+    fn doubt(&mut self, now: Instant, members: &[Account]) {
+        let wrong = |it: &Place| {
+            let held: u32 = members.iter().map(|member| self.held_by(member, it)).sum();
+            held > it.slots || self.unheld(it, members) > 0
+        };
+        if !self.places().iter().any(wrong) {
+            self.doubtful = None;
+            return;
+        }
+        let since = *self.doubtful.get_or_insert(now);
+        if now - since >= DOUBT {
+            (self.settled, self.common) = (false, None);
+        }
+    }
+
+    fn places(&self) -> Vec<Place> {
+        let places = self.targets.iter().enumerate();
+        let place = |(index, (target, slots)): (usize, (&u32, &u32))| Place {
+            index,
+            target: *target,
+            slots: *slots,
+        };
+        places.map(place).collect()
+    }
+
+    /// True when no slots have moved yet, so that none can be on their way.
+    fn is_fresh(&self) -> bool {
+        let fresh = |it: &Peer| it.notice.gifts.is_empty() && it.notice.receipts.is_empty();
+        self.gifts.is_empty()
+            && self.taken.values().all(|it| *it == 0)
+            && self.peers.values().all(fresh)
     }
 
     /// Slots of a target that `member` uses, as far as known.
@@ -252,14 +308,19 @@
         from.iter().chain(before)
     }
 
-    /// What this instance takes of the slots that nobody holds. A gift counts
-    /// with its giver until confirmed, and with its receiver.
-    fn part(&self, target: &Place, members: &[Account]) -> u32 {
+    /// Slots of a target that nobody holds. A gift counts with its giver until
+    /// confirmed, and with its receiver.
+    fn unheld(&self, target: &Place, members: &[Account]) -> u32 {
         let given = |gifts: &[Gift]| -> u32 { gifts.iter().map(|it| it.of(target.target)).sum() };
         let held: u32 = members.iter().map(|it| self.held_by(it, target)).sum();
         let peers: u32 = self.peers.values().map(|it| given(&it.notice.gifts)).sum();
         let accounted = held + given(&self.gifts) + peers;
-        let mut unheld = target.slots.saturating_sub(accounted);
+        target.slots.saturating_sub(accounted)
+    }
+
+    /// What this instance takes of the slots that nobody holds.
+    fn part(&self, target: &Place, members: &[Account]) -> u32 {
+        let mut unheld = self.unheld(target, members);
         let count = members.len() as u32;
         let mut part = 0;
         for (rank, member) in (0..).zip(Ledger::order(target, members)) {
@@ -318,35 +379,38 @@
 
     /// Slots that this instance can spare, and who lacks how many.
     ///
-    /// Each has a base by its demand in the long run. Below it, slots are lent
-    /// that are not needed now; above it, slots go back to who needs them.
+    /// Each has a base by its demand in the long run. Who needs more than it
+    /// holds is lent what is not needed here; when nobody does, what is held
+    /// beyond the base goes back to those below theirs.
     fn surplus(&self) -> Option<(u32, Vec<(Account, f64)>)> {
-        if self.peers.is_empty() {
+        // While somebody has yet to claim, nothing may move.
+        if !self.settled || !self.peers.values().all(|it| it.notice.settled) {
             return None;
         }
         let bases = self.bases();
         let held = f64::from(self.held.values().sum::<u32>());
         let needed = self.demand + bases.own * SAFETY;
-        let spare = (held - needed.min(bases.own)).max(held - bases.own.max(needed));
-        let lack = |peer: &Peer| {
-            let base = bases.of(peer.lasting);
-            let wanted = peer
-                .demand()
-                .max(if peer.demand() < base { base } else { 0.0 });
-            let urgent = peer.demand() > peer.held();
-            let wanted = if urgent { wanted } else { base };
-            wanted - peer.held() - self.given(peer)
+        let needs = |peer: &Peer| peer.demand() - peer.held() - self.given(peer);
+        let needy = self.lacking(needs);
+        let (spare, lacking) = if needy.is_empty() {
+            let below = |peer: &Peer| bases.of(peer.lasting()) - peer.held() - self.given(peer);
+            (held - bases.own.max(needed), self.lacking(below))
+        } else {
+            (held - bases.own.min(needed), needy)
         };
-        let lacking = self.peers.iter().map(|(account, it)| (*account, lack(it)));
-        let lacking: Vec<(Account, f64)> = lacking.filter(|it| it.1 >= 1.0).collect();
         let lack: f64 = lacking.iter().map(|it| it.1).sum();
         let spare = spare.min(lack);
         (spare >= 1.0).then_some((spare as u32, lacking))
     }
 
+    fn lacking(&self, lack: impl Fn(&Peer) -> f64) -> Vec<(Account, f64)> {
+        let lacking = self.peers.iter().map(|(account, it)| (*account, lack(it)));
+        lacking.filter(|it| it.1 >= 1.0).collect()
+    }
+
     fn bases(&self) -> Bases {
         let total = f64::from(self.targets.values().sum::<u32>());
-        let all: f64 = self.peers.values().map(|it| it.lasting).sum::<f64>() + self.lasting;
+        let all: f64 = self.peers.values().map(Peer::lasting).sum::<f64>() + self.lasting;
         let even = total * EVEN / (self.peers.len() as f64 + 1.0);
         let per_demand = total * (1.0 - EVEN) / all.max(1e-9);
         Bases {
@@ -418,10 +482,11 @@
     }
 
     fn receipts(&self) -> Vec<Receipt> {
-        let taken = self.peers.iter().filter(|(_, it)| it.taken > 0);
-        let receipt = |(from, it): (&Account, &Peer)| Receipt {
+        let taken = self.taken.iter();
+        let taken = taken.filter(|(from, it)| **it > 0 && self.peers.contains_key(from));
+        let receipt = |(from, number): (&Account, &u64)| Receipt {
             from: *from,
-            number: it.taken,
+            number: *number,
         };
         taken.map(receipt).collect()
     }
@@ -445,6 +510,10 @@
         f64::from(self.notice.demand)
     }
 
+    fn lasting(&self) -> f64 {
+        f64::from(self.notice.lasting) / 100.0
+    }
+
     fn held(&self) -> f64 {
         self.notice.held.iter().map(|it| f64::from(*it)).sum()
     }
--- a/crates/dispatch/src/notice.rs
+++ b/crates/dispatch/src/notice.rs
@@ -40,8 +40,14 @@
 pub struct Notice {
     /// Digest of the live instances and of the targets that the sender knows.
     pub view: u64,
+    /// Times that the sender has given up everything.
+    pub lapses: u32,
+    /// The sender has taken its part of what nobody held in this view.
+    pub settled: bool,
     /// Slots that the sender could use now.
     pub demand: u32,
+    /// The same in the long run, in hundredths of a slot.
+    pub lasting: u32,
     /// Slots that the sender may use, by target in the order of fingerprints.
     pub held: Vec<u16>,
     /// Gifts that were not confirmed yet.
