--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -36,9 +36,9 @@
 const OVERDUE: (f64, Duration) = (1.5, Duration::from_millis(50));
 
 /// Time for which the slots of a task without an answer count as taken.
-const LINGERS_UNKNOWN: Duration = Duration::from_secs(2);
+const LINGERS_UNKNOWN: Duration = Duration::from_secs(4);
 /// Time for which a slot counts as taken after a target refused it.
-const LINGERS_FULL: Duration = Duration::from_millis(250);
+const LINGERS_FULL: Duration = Duration::from_secs(1);
 
 struct Running {
     pending: Pending,
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -34,7 +34,7 @@
 /// Slow probes after which the slowness is taken to last.
 const LASTING_PROBES: u32 = 4;
 /// Times between a finding and a probe: the first, and the longest.
-const BACKOFF: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(8));
+const BACKOFF: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(4));
 
 /// Why a target is shut out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -204,13 +204,14 @@
         let log = ratio.clamp(0.02, 100.0).ln();
         let first = 1.0 / f64::from(self.observations);
         self.recent += first.max(RECENT_WEIGHT) * (log - self.recent);
-        // A straggling spell is not to become the lasting slowness.
+        // A straggling spell is not to become the lasting slowness: it counts up
+        // to a limit, and not at all once it was found.
+        let settled = self.observations > SETTLED;
+        if settled && !matches!(self.state, State::Open(_)) {
+            return;
+        }
         let limit = self.lasting + STRAGGLING.ln();
-        let log = if self.observations > SETTLED {
-            log.min(limit)
-        } else {
-            log
-        };
+        let log = if settled { log.min(limit) } else { log };
         self.lasting += first.max(1.0 / LASTING) * (log - self.lasting);
     }
 
