--- a/crates/bluebellpath/src/entry/pump.rs
+++ b/crates/bluebellpath/src/entry/pump.rs
@@ -8,14 +8,15 @@
 use slog::{debug, warn};
 
 use super::{
+    Planted, audit, evict,
+    fence::Right,
     job::{Cause, Ending, Job},
     state::State,
 };
 use crate::{
-    job::Outcome,
-    platform::{Instance, Role},
-    record,
-    target::{self, Fault, Open, Reason, Start, Status},
+    job::{Id, Outcome},
+    platform::{self, Instance, Role},
+    target::{self, Fault, Reason, Start, Status},
 };
 
 /// Starts tasks as slots come free, and drops those that are too late.
@@ -77,7 +78,11 @@
     let began = clock::now();
     let spec = &job.submission.tasks[assignment.task as usize];
     let task = job.task(assignment.task);
-    let deadline = job.submitted + Duration::from_millis(job.submission.deadline_ms);
+    let fence = Rc::new(Right {
+        job: job.clone(),
+        held_until: state.claims.held_until(),
+        planted: state.config.planted,
+    });
     let start = Start {
         task: &task,
         target: &target,
@@ -85,11 +90,12 @@
         payload: &spec.payload,
         size: spec.size,
         lease: state.config.task_lease,
-        timeout: deadline - began,
+        timeout: job.deadline - began,
     };
-    let result = state.env.targets.start(start, Rc::new(Open)).await;
+    let result = state.env.targets.start(start, fence).await;
     let elapsed = clock::now() - began;
     let (ending, task_ending) = endings(result, elapsed, &state, &job);
+    state.meters.started(ending);
     if report(&state, assignment, ending, elapsed) == Next::Requeued {
         job.requeued(assignment.task);
     } else {
@@ -162,7 +168,11 @@
                         detail,
                         retry_after_ms: None,
                     });
-                    (dispatch::Ending::Unknown, ran(Outcome::Unknown, None))
+                    let outcome = match state.config.planted {
+                        Some(Planted::NotRunAfterSend) => Outcome::NotRun,
+                        _ => Outcome::Unknown,
+                    };
+                    (dispatch::Ending::Unknown, ran(outcome, None))
                 }
             }
         }
@@ -185,24 +195,34 @@
     }
 }
 
-/// Gives the job's answer and enters it in the record.
+/// Gives the job's answer, in the order of its callers' requests, and enters
+/// it in the record.
 pub(super) fn answer(state: &State, job: &Rc<Job>, outcome: Outcome) {
     if job.is_answered() {
         return;
     }
-    job.finish(outcome);
-    state.record.append(record::Entry {
-        job: job.id.clone(),
-        instance: state.config.name.clone(),
-        incarnation: state.config.incarnation,
-        submitted_ms: job.submitted_ms,
-        answered_ms: clock::wall(),
-        deadline_ms: job.submission.deadline_ms,
-        outcome,
-        preset: job.view.document.preset.clone(),
-        config_version: job.view.version,
-        unconfirmed_since: job.view.unconfirmed_since,
-    });
+    job.finish(outcome, state.config.planted);
+    let response = clock::now() - job.began;
+    state.meters.answered(outcome, response, job.longest());
+    end_claim(state, job, outcome);
+    audit::enter(state, job);
+    if job.cancelled.get() && state.config.planted == Some(Planted::DropAnswer) {
+        return;
+    }
+    for job in state.order.answered(job, outcome) {
+        job.deliver();
+    }
+    evict::keep(state, job, outcome);
+}
+
+/// Records the end with the claim. A job that came to nothing may be submitted
+/// anew; one that was cancelled stays cancelled.
+fn end_claim(state: &State, job: &Job, outcome: Outcome) {
+    if let (Id::Key(key), Some(grant)) = (&job.id, job.grant.get()) {
+        let anew = outcome == Outcome::NotRun && !job.cancelled.get();
+        let outcome = Some(outcome).filter(|_| !anew);
+        state.claims.ended(key, job.digest, grant, outcome);
+    }
 }
 
 /// Cancels a job: what waits never starts, what runs is told to stop.
@@ -224,6 +244,7 @@
         drop(dispatcher);
         let (state, task) = (state.clone(), job.task(index));
         drop(spawn(async move {
+            state.meters.stopped();
             if let Err(error) = state.env.targets.stop(&target, &task).await {
                 warn!(state.env.log, "stop failed"; "task" => %task, "error" => %error);
             }
@@ -234,10 +255,16 @@
 /// Keeps the dispatcher's targets as the instance list has them.
 pub(super) async fn follow_targets(state: Rc<State>) {
     let mut first = true;
+    let mut roll = platform::Roll::new(state.config.domain);
     loop {
-        match state.env.instances.instances().await {
-            Ok(instances) => {
+        match roll.refresh(state.env.instances.as_ref()).await {
+            Ok(false) => state.listed.set(clock::now()),
+            Ok(true) => {
+                state.listed.set(clock::now());
+                let instances = roll.instances();
                 state.membership.observe(&instances);
+                let entries = instances.iter().filter(|it| it.role == Role::Entry);
+                state.platform.share(entries.count());
                 set_targets(&state, instances);
                 if std::mem::take(&mut first) {
                     state.membership.greet(state.as_ref());
--- a/crates/bluebellpath/src/entry/state.rs
+++ b/crates/bluebellpath/src/entry/state.rs
@@ -7,19 +7,20 @@
 };
 
 use bluebellpath_dispatch::{Dispatcher, TargetId};
-use bluebellpath_runtime::Notify;
+use bluebellpath_runtime::{Instant, Notify, clock};
 
 use super::{
-    Config, Env,
+    Config, Env, Planted,
     credit::{self, Credit},
     jobs::Jobs,
     names::Names,
+    order::Order,
 };
 use crate::{
-    job::Ticket,
-    owner::Claims,
+    metric::Meters,
+    owner::{Claims, Tickets},
     peer::{Heartbeat, Identity, Load, Membership, Phase, Source},
-    platform::Instance,
+    platform::{Guarded, Instance},
     record::Log,
 };
 
@@ -27,10 +28,15 @@
 pub(super) struct State {
     pub(super) config: Config,
     pub(super) env: Env,
+    pub(super) platform: Rc<Guarded>,
     pub(super) jobs: Jobs,
     pub(super) membership: Rc<Membership>,
-    pub(super) claims: Claims,
-    pub(super) record: Log,
+    pub(super) order: Order,
+    pub(super) claims: Rc<Claims>,
+    pub(super) tickets: Tickets,
+    pub(super) record: Rc<Log>,
+    /// When the instance list was last read.
+    pub(super) listed: Cell<Instant>,
     pub(super) dispatcher: RefCell<Dispatcher>,
     pub(super) credit: Credit,
     /// Configuration version and number of instances that the dispatcher was
@@ -42,7 +48,10 @@
     pub(super) teams: Names,
     pub(super) kinds: Names,
     pub(super) target_names: Names,
-    tickets: Cell<u64>,
+    /// Where the instance stands in its life, as peers and balancers see it.
+    pub(super) phase: Cell<Phase>,
+    pub(super) meters: Meters,
+    turns: Cell<usize>,
 }
 
 impl State {
@@ -53,12 +62,28 @@
             domain: config.domain,
             address: config.address,
         };
+        let platform = Rc::new(guarded(&config, &env));
+        let env = Env {
+            table: platform.clone(),
+            objects: platform.clone(),
+            instances: platform.clone(),
+            ..env
+        };
         let membership = Membership::new(identity, env.link.clone(), config.membership);
+        let membership = Rc::new(membership);
+        let table = env.table.clone();
+        let mut owner = config.owner;
+        owner.forget_promises |= config.planted == Some(Planted::ForgetPromise);
+        let claims = Claims::new(table, membership.clone(), config.domains, owner);
+        let window = owner.max_tickets;
         State {
-            membership: Rc::new(membership),
+            membership,
             jobs: Jobs::default(),
-            claims: Claims::new(env.table.clone(), config.incarnation),
-            record: Log::new(),
+            order: Order::new(config.planted),
+            claims: Rc::new(claims),
+            tickets: Tickets::new(config.domain, config.incarnation, window),
+            record: Rc::new(log(&config, &env)),
+            listed: Cell::new(clock::now()),
             dispatcher: RefCell::new(Dispatcher::new(Default::default())),
             credit: Credit::new(config.incarnation),
             tuned: Cell::new(None),
@@ -67,27 +92,37 @@
             teams: Names::default(),
             kinds: Names::default(),
             target_names: Names::default(),
-            tickets: Cell::new(0),
+            phase: Cell::new(Phase::Serving),
+            meters: Meters::default(),
+            turns: Cell::new(0),
             config,
             env,
+            platform,
         }
     }
 
-    pub(super) fn ticket(&self) -> Ticket {
-        self.tickets.set(self.tickets.get() + 1);
-        Ticket {
-            domain: self.config.domain,
-            incarnation: self.config.incarnation,
-            counter: self.tickets.get(),
-        }
+    /// Number that grows with each call, to take peers in turn.
+    pub(super) fn turn(&self) -> usize {
+        self.turns.set(self.turns.get() + 1);
+        self.turns.get()
     }
+}
 
-    /// True when `ticket` was handed out by this incarnation.
-    pub(super) fn issued(&self, ticket: &Ticket) -> bool {
-        ticket.incarnation == self.config.incarnation
-            && ticket.domain == self.config.domain
-            && (1..=self.tickets.get()).contains(&ticket.counter)
-    }
+fn log(config: &Config, env: &Env) -> Log {
+    let (table, objects) = (env.table.clone(), env.objects.clone());
+    Log::new(
+        &config.name,
+        config.incarnation,
+        config.record,
+        table,
+        objects,
+    )
+}
+
+fn guarded(config: &Config, env: &Env) -> Guarded {
+    let (table, objects) = (env.table.clone(), env.objects.clone());
+    let seed = config.incarnation.to_u64();
+    Guarded::new(table, objects, env.instances.clone(), config.platform, seed)
 }
 
 impl Source for State {
@@ -95,7 +130,10 @@
         heartbeat.credit = self.credit.notice(self);
         heartbeat.suspects = credit::suspects(self);
         let dispatcher = self.dispatcher.borrow();
-        heartbeat.phase = Phase::Serving;
+        heartbeat.phase = match self.claims.is_releasing() {
+            true => Phase::Draining,
+            false => self.phase.get(),
+        };
         heartbeat.config_version = self.env.config.view().version;
         heartbeat.load = Load {
             waiting: dispatcher.waiting() as u32,
--- a/crates/bluebellpath/src/http/client.rs
+++ b/crates/bluebellpath/src/http/client.rs
@@ -27,7 +27,11 @@
 };
 use monoio_http::h1::codec::encoder::GenericEncoder;
 
-use super::{Error, Fault, Limits, Request, Response, Step, reader::Reader, server::payload};
+use super::{
+    Error, Fault, Limits, Request, Response, Step,
+    reader::{Reader, declared},
+    server::payload,
+};
 use crate::target::{Fence, Open};
 
 /// Limits and timeouts of a [`Client`].
@@ -205,7 +209,7 @@
 }
 
 struct Connection {
-    peer: SocketAddr,
+    host: HeaderValue,
     limits: Limits,
     reader: Reader<OwnedReadHalf<TcpStream>>,
     write: OwnedWriteHalf<TcpStream>,
@@ -214,8 +218,9 @@
 impl Connection {
     fn new(stream: TcpStream, peer: SocketAddr, limits: Limits) -> Connection {
         let (read, write) = stream.into_split();
+        let host = HeaderValue::from_str(&peer.to_string());
         Connection {
-            peer,
+            host: host.unwrap_or(HeaderValue::from_static("unknown")),
             limits,
             reader: Reader::new(read),
             write,
@@ -290,7 +295,9 @@
             .map_err(failed(Step::Send, true))?;
         let head = self.reader.response_head(&self.limits, timeout).await;
         let head = head.map_err(failed(Step::Receive, true))?;
-        let body = self.reader.body(&head.headers, &self.limits).await;
+        let length = declared(&head.headers, &self.limits);
+        let length = length.map_err(failed(Step::Receive, true))?;
+        let body = self.reader.body(length, &self.limits).await;
         let body = body.map_err(failed(Step::Receive, true))?;
         let close = head
             .headers
@@ -314,9 +321,7 @@
         *message.uri_mut() = target.parse().unwrap_or_default();
         *message.headers_mut() = request.headers;
         let headers = message.headers_mut();
-        if let Ok(host) = HeaderValue::from_str(&self.peer.to_string()) {
-            headers.insert(header::HOST, host);
-        }
+        headers.insert(header::HOST, self.host.clone());
         // Makes the codec write a length for requests without a body too.
         headers
             .entry(header::CONTENT_LENGTH)
--- a/crates/bluebellpath/src/http/reader.rs
+++ b/crates/bluebellpath/src/http/reader.rs
@@ -7,16 +7,21 @@
 use bytes::{Bytes, BytesMut};
 use monoio::io::AsyncReadRent;
 use monoio_codec::{Decoded, Decoder};
-use monoio_http::h1::codec::decoder::{RequestHeadDecoder, ResponseHeadDecoder};
+use monoio_http::h1::codec::decoder::{
+    ChunkedBodyDecoder, RequestHeadDecoder, ResponseHeadDecoder,
+};
 
 use super::{Fault, Limits};
 
 /// Bytes asked of the socket at once.
 const CHUNK_BYTES: usize = 4 << 10;
 
+/// Most bytes of a chunk's size, line ends and the last chunk.
+const MAX_CHUNK_FRAME: usize = 64;
+
 /// Length of a body, as its head declares it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Length {
+pub(super) enum Length {
     Known(usize),
     Chunked,
 }
@@ -66,32 +71,81 @@
         clock::timeout(wait, head).await.ok_or(Fault::TimedOut)?
     }
 
-    /// Reads the body that `headers` declare.
-    pub(super) async fn body(
-        &mut self,
-        headers: &HeaderMap,
-        limits: &Limits,
-    ) -> Result<Bytes, Fault> {
-        let length = match declared(headers)? {
-            Length::Known(length) if length > limits.body_bytes => {
-                return Err(Fault::BodyTooLarge);
-            }
-            Length::Known(length) => length,
-            Length::Chunked => return Err(Fault::LengthRequired),
-        };
+    /// Reads the body of `length`.
+    pub(super) async fn body(&mut self, length: Length, limits: &Limits) -> Result<Bytes, Fault> {
         let read = async {
-            while self.buffer.len() < length {
-                if !self.fill().await? {
-                    return Err(Fault::Closed);
-                }
+            match length {
+                Length::Known(length) => self.known(length).await,
+                Length::Chunked => self.chunked(limits.body_bytes).await,
             }
-            Ok(self.buffer.split_to(length).freeze())
         };
         clock::timeout(limits.message, read)
             .await
             .ok_or(Fault::TimedOut)?
     }
 
+    async fn known(&mut self, length: usize) -> Result<Bytes, Fault> {
+        while self.buffer.len() < length {
+            self.more().await?;
+        }
+        Ok(self.buffer.split_to(length).freeze())
+    }
+
+    /// Reads a chunked body of up to `limit` bytes, without extensions or
+    /// trailers.
+    async fn chunked(&mut self, limit: usize) -> Result<Bytes, Fault> {
+        let mut body = BytesMut::new();
+        loop {
+            let mut decoder = ChunkedBodyDecoder::default();
+            while self.buffer.is_empty() {
+                self.more().await?;
+            }
+            // The decoder takes a chunk without a size for the last one.
+            if !self.buffer[0].is_ascii_hexdigit() {
+                return Err(Fault::Malformed);
+            }
+            let chunk = loop {
+                // The decoder wants the whole chunk, so the limit is tested on
+                // what it holds back.
+                if body.len() + self.buffer.len() > limit + MAX_CHUNK_FRAME {
+                    return Err(Fault::BodyTooLarge);
+                }
+                match decoder.decode(&mut self.buffer) {
+                    Ok(Decoded::Some(chunk)) => break chunk,
+                    Ok(_) => self.more().await?,
+                    Err(_) => return Err(Fault::Malformed),
+                }
+            };
+            match chunk {
+                Some(chunk) if body.len() + chunk.len() > limit => return Err(Fault::BodyTooLarge),
+                Some(chunk) => body.extend_from_slice(&chunk),
+                None => return Ok(body.freeze()),
+            }
+        }
+    }
+
+    /// Reads more input; errs at the end of the stream.
+    async fn more(&mut self) -> Result<(), Fault> {
+        match self.fill().await? {
+            true => Ok(()),
+            // The other side may still listen for an answer.
+            false => Err(Fault::Malformed),
+        }
+    }
+
+    /// True when input is here that has not been taken yet.
+    pub(super) fn has_input(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    /// Gives back the buffer when nothing is left in it, so that a connection
+    /// whose answer is awaited holds none.
+    pub(super) fn release(&mut self) {
+        if self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
+        }
+    }
+
     /// Reads and forgets some input; false at the end of the stream.
     pub(super) async fn discard(&mut self) -> bool {
         self.buffer.clear();
@@ -118,6 +172,8 @@
     }
 
     async fn fill(&mut self) -> Result<bool, Fault> {
+        // Lending the buffer's free end to the socket instead costs more: the
+        // split and the shared count outweigh the copy of a small message.
         let chunk = Vec::with_capacity(CHUNK_BYTES);
         let (result, chunk) = self.io.read(chunk).await;
         match result {
@@ -131,9 +187,24 @@
     }
 }
 
-fn declared(headers: &HeaderMap) -> Result<Length, Fault> {
-    if headers.contains_key(header::TRANSFER_ENCODING) {
-        return Ok(Length::Chunked);
+/// Length of the body that `headers` declare, within `limits`.
+pub(super) fn declared(headers: &HeaderMap, limits: &Limits) -> Result<Length, Fault> {
+    match stated(headers)? {
+        Length::Known(length) if length > limits.body_bytes => Err(Fault::BodyTooLarge),
+        length => Ok(length),
+    }
+}
+
+fn stated(headers: &HeaderMap) -> Result<Length, Fault> {
+    let mut encodings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    if let Some(encoding) = encodings.next() {
+        let chunked = encoding.as_bytes().eq_ignore_ascii_case(b"chunked");
+        // A second encoding or a length is another opinion about the end.
+        let alone = encodings.next().is_none() && !headers.contains_key(header::CONTENT_LENGTH);
+        return match chunked && alone {
+            true => Ok(Length::Chunked),
+            false => Err(Fault::Malformed),
+        };
     }
     let mut lengths = headers.get_all(header::CONTENT_LENGTH).iter();
     let Some(first) = lengths.next() else {
--- a/crates/bluebellpath/src/peer/message.rs
+++ b/crates/bluebellpath/src/peer/message.rs
@@ -2,7 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::job::{Answer, Id, Submission};
+use crate::{
+    job::{Answer, Id, Incarnation, Submission},
+    owner::{Account, Hold, Promise},
+};
 
 /// Request from one entry instance to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -13,16 +16,31 @@
         id: Id,
         /// Job.
         submission: Submission,
+        /// Time for which the request has been on its way, in milliseconds.
+        waited_ms: u64,
+        /// Times that it may be passed on.
+        hops: u8,
     },
     /// Wait for the answer to a job.
     Fetch {
         /// Job id.
         id: Id,
+        /// Times that it may be passed on.
+        hops: u8,
     },
     /// Cancel a job.
     Cancel {
         /// Job id.
         id: Id,
+        /// Times that it may be passed on.
+        hops: u8,
+    },
+    /// Promise not to take over, and remember claims.
+    Hold(Hold),
+    /// Tell what is known of a peer's tenure.
+    Account {
+        /// That peer.
+        holder: Incarnation,
     },
 }
 
@@ -35,6 +53,12 @@
     Missing,
     /// The id belongs to a job with other content.
     Mismatch,
+    /// The home of the id keeps too many jobs already.
+    Full,
     /// This instance does not own the id.
     NotOwner,
+    /// Whether the promise is given.
+    Promise(Promise),
+    /// What is known of a peer's tenure.
+    Account(Account),
 }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -132,7 +132,8 @@
         for task in &job.tasks {
             queued.add(self.pending(job.team, *task));
         }
-        let longest = queued.tasks.front().map_or(0.0, |it| it.expected.mean);
+        let longest = queued.tasks.front().filter(|it| it.expected.learnt);
+        let longest = longest.map_or(0.0, |it| it.expected.mean);
         queued.least = longest * self.pool.fastest();
         self.check(&job, &queued, now)?;
         if !self.teams.take(job.team, job.tasks.len(), now) {
@@ -206,11 +207,15 @@
             .min()
     }
 
-    /// True when stopping a running task of a cancelled job frees its slot so
-    /// much earlier that two messages are worth it.
+    /// True unless a running task of a cancelled job is known to end so soon that
+    /// stopping it is not worth two messages.
     pub fn should_stop(&self, job: JobId, task: u32, now: Instant) -> bool {
-        let running = self.running.get(&(job, task));
-        running.is_some_and(|it| it.expected_end >= now + self.policy.stop_worth)
+        let Some(running) = self.running.get(&(job, task)) else {
+            return false;
+        };
+        let is_overdue = running.overdue.is_none();
+        let soon = !is_overdue && running.expected_end < now + self.policy.stop_worth;
+        !(soon && running.pending.expected.learnt)
     }
 
     /// Tasks that wait.
--- a/crates/dispatch/src/estimate.rs
+++ b/crates/dispatch/src/estimate.rs
@@ -86,6 +86,8 @@
     pub(crate) mean: f64,
     /// Time that few tasks exceed.
     pub(crate) long: f64,
+    /// From observations and not from a declaration.
+    pub(crate) learnt: bool,
 }
 
 /// Sketches by team and kind.
@@ -116,13 +118,18 @@
         let mean = learnt.and_then(Sketch::mean);
         let long = learnt.and_then(|it| it.quantile(0.98));
         if let (Some(mean), Some(long)) = (mean, long) {
-            return Expected { mean, long };
+            let learnt = true;
+            return Expected { mean, long, learnt };
         }
         let declared = task.declared.map(|it| it.as_secs_f64());
         let declared = declared.map(|it| it.clamp(DECLARED.0, DECLARED.1));
         let mean = declared.unwrap_or(default.as_secs_f64());
         // A declaration may be a tenth of the truth.
         let long = mean * 10.0;
-        Expected { mean, long }
+        Expected {
+            mean,
+            long,
+            learnt: false,
+        }
     }
 }
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -104,8 +104,11 @@
 
     /// Time after which starting it, or going on with it, is in vain.
     fn latest(&self, order: &Order) -> Instant {
-        let longest = self.tasks.front().map_or(0.0, |it| it.expected.mean);
-        let mut least = longest * order.fastest;
+        // What was only declared is no reason to give a job up.
+        let Some(longest) = self.tasks.front().filter(|it| it.expected.learnt) else {
+            return self.deadline;
+        };
+        let mut least = longest.expected.mean * order.fastest;
         if !self.begun {
             least += self.work / order.rate.max(0.1);
         }
