Test that a mere declaration neither refuses nor drops a job

Cause: a test took a declaration for a reason to refuse; since cancels and drops rest on learnt run times only, it failed. Change: the test lets the run time be learnt first, and another holds the new rule.

--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -279,10 +279,28 @@
     },
 ];
 
+/// Lets enough tasks run that their run time is known.
+fn learn(dispatcher: &mut Dispatcher) {
+    let jobs = job(0, 0, 10, at(60_000));
+    assert!(dispatcher.submit(jobs, at(0)).is_ok());
+    while let Some(assignment) = dispatcher.next(at(0)) {
+        end(dispatcher, assignment, Ending::Complete, at(0));
+    }
+}
+
+#[test]
+fn a_declaration_alone_is_no_reason_to_refuse_or_drop() {
+    let mut dispatcher = dispatcher(2, 8);
+    assert!(dispatcher.submit(job(1, 0, 1, at(50)), at(0)).is_ok());
+    assert!(dispatcher.expire(at(49)).is_empty());
+    assert_eq!(dispatcher.expire(at(50)).len(), 1);
+}
+
 #[test]
 fn what_can_not_be_done_is_refused_before_anything_ran() {
     for case in DOORS {
         let mut dispatcher = dispatcher(2, 8);
+        learn(&mut dispatcher);
         let mut job = job(1, 0, case.tasks, case.deadline);
         job.tasks.iter_mut().for_each(|it| it.size = case.size);
         let refusal = dispatcher.submit(job, at(0)).expect_err(case.name);
