--- a/crates/bluebellpath/src/entry/job.rs
+++ b/crates/bluebellpath/src/entry/job.rs
@@ -16,6 +16,7 @@
     job::{Answer, Digest, Id, Outcome, Part, Reason, Submission, TaskId},
     owner::Grant,
     platform::Instance,
+    record::Right,
 };
 
 /// What those who wait for a job are told.
@@ -56,10 +57,13 @@
     pub(super) digest: Digest,
     pub(super) submission: Submission,
     pub(super) view: Rc<View>,
+    pub(super) began: Instant,
     pub(super) submitted_ms: u64,
     pub(super) deadline: Instant,
     pub(super) cancelled: Cell<bool>,
     pub(super) grant: Cell<Option<Grant>>,
+    /// When this instance took the job in.
+    pub(super) admitted: Instant,
     /// True once this instance has the right to start the job.
     owned: Cell<bool>,
     slots: RefCell<Vec<Slot>>,
@@ -91,10 +95,12 @@
             number,
             digest: Digest::of(&submission),
             view,
+            began: clock::now(),
             submitted_ms: clock::wall(),
             deadline: clock::now() + limit.saturating_sub(waited),
             cancelled: Cell::new(false),
             grant: Cell::new(None),
+            admitted: clock::now(),
             owned: Cell::new(false),
             left: Cell::new(slots.len()),
             slots: RefCell::new(slots),
@@ -172,6 +178,13 @@
         self.cause.borrow_mut().get_or_insert(cause);
     }
 
+    /// Run of the longest task, where one is known.
+    pub(super) fn longest(&self) -> Option<Duration> {
+        let slots = self.slots.borrow();
+        let runs = slots.iter().filter_map(|it| it.part.elapsed_us);
+        runs.max().map(Duration::from_micros)
+    }
+
     /// Outcome of the job, given that all of its tasks have ended.
     pub(super) fn outcome(&self) -> Outcome {
         Outcome::of_job(self.slots.borrow().iter().map(|it| it.part.outcome))
@@ -228,6 +241,20 @@
         self.done.notify();
     }
 
+    /// Answer, once it is known.
+    pub(super) fn given(&self) -> Option<Rc<Answer>> {
+        self.answer.borrow().clone()
+    }
+
+    /// By what right this instance started the job.
+    pub(super) fn right(&self) -> Right {
+        match &self.id {
+            _ if !self.owned.get() => Right::None,
+            Id::Ticket(_) => Right::Ticket,
+            Id::Key(_) => Right::Claim,
+        }
+    }
+
     /// Notes that this instance has the right to start the job.
     pub(super) fn own(&self) {
         self.owned.set(true);
--- a/crates/bluebellpath/src/entry/state.rs
+++ b/crates/bluebellpath/src/entry/state.rs
@@ -7,10 +7,11 @@
 };
 
 use bluebellpath_dispatch::{Dispatcher, TargetId};
-use bluebellpath_runtime::Notify;
+use bluebellpath_runtime::{Instant, Notify, clock};
 
 use super::{Config, Env, Planted, jobs::Jobs, names::Names, order::Order};
 use crate::{
+    metric::Meters,
     owner::{Claims, Tickets},
     peer::{Heartbeat, Identity, Load, Membership, Phase, Source},
     platform::{Guarded, Instance},
@@ -27,7 +28,9 @@
     pub(super) order: Order,
     pub(super) claims: Rc<Claims>,
     pub(super) tickets: Tickets,
-    pub(super) record: Log,
+    pub(super) record: Rc<Log>,
+    /// When the instance list was last read.
+    pub(super) listed: Cell<Instant>,
     pub(super) dispatcher: RefCell<Dispatcher>,
     /// Signals that the dispatcher may have something to start.
     pub(super) work: Notify,
@@ -37,6 +40,7 @@
     pub(super) target_names: Names,
     /// Where the instance stands in its life, as peers and balancers see it.
     pub(super) phase: Cell<Phase>,
+    pub(super) meters: Meters,
     turns: Cell<usize>,
 }
 
@@ -68,7 +72,8 @@
             order: Order::new(config.planted),
             claims: Rc::new(claims),
             tickets: Tickets::new(config.domain, config.incarnation, window),
-            record: Log::new(),
+            record: Rc::new(log(&config, &env)),
+            listed: Cell::new(clock::now()),
             dispatcher: RefCell::new(Dispatcher::new(Default::default())),
             work: Notify::new(),
             targets: RefCell::default(),
@@ -76,6 +81,7 @@
             kinds: Names::default(),
             target_names: Names::default(),
             phase: Cell::new(Phase::Serving),
+            meters: Meters::default(),
             turns: Cell::new(0),
             config,
             env,
@@ -90,6 +96,17 @@
     }
 }
 
+fn log(config: &Config, env: &Env) -> Log {
+    let (table, objects) = (env.table.clone(), env.objects.clone());
+    Log::new(
+        &config.name,
+        config.incarnation,
+        config.record,
+        table,
+        objects,
+    )
+}
+
 fn guarded(config: &Config, env: &Env) -> Guarded {
     let (table, objects) = (env.table.clone(), env.objects.clone());
     let seed = config.incarnation.to_u64();
--- a/crates/sessions/tests/ownership.rs
+++ b/crates/sessions/tests/ownership.rs
@@ -5,6 +5,7 @@
 use bluebellpath::{
     entry::Refusal,
     job::{Answer, Id, Outcome, Spec, Submission},
+    platform::Table,
 };
 use bluebellpath_runtime::{clock, runtime, spawn};
 use bluebellpath_standin::{Fleet, Layout};
@@ -172,6 +173,12 @@
     assert!(runs > 0);
 }
 
+/// Claims in the table.
+async fn claims(fleet: &Fleet) -> usize {
+    let claims = fleet.table.scan("claim/", None, 1_000).await;
+    claims.expect("the store is up").len()
+}
+
 #[test]
 fn claims_go_after_their_retention() {
     let (kept, later) = runtime::paused(async {
@@ -180,13 +187,12 @@
             config.owner.sweep = Duration::from_secs(5);
         });
         clock::sleep(SETTLED).await;
-        let leases = fleet.table.len();
         for number in 0..50 {
             submit(&fleet, 0, key(number), submission(1, 2_000, 1)).await;
         }
-        let kept = fleet.table.len() - leases;
+        let kept = claims(&fleet).await;
         clock::sleep(Duration::from_secs(60)).await;
-        (kept, fleet.table.len() - leases)
+        (kept, claims(&fleet).await)
     });
     assert_eq!((kept, later), (50, 0));
 }
