--- a/crates/bluebellpath/src/admin/api.rs
+++ b/crates/bluebellpath/src/admin/api.rs
@@ -28,7 +28,7 @@
     pub fn new(entry: Entry) -> Api {
         let env = entry.env();
         Api {
-            proposer: Proposer::new(env.table.clone(), env.config.clone()),
+            proposer: Proposer::new(entry.config_table(), env.config.clone()),
             log: env.log.clone(),
             entry,
         }
@@ -45,7 +45,7 @@
     }
 
     async fn answer(self, request: Request) -> Response {
-        let access = self.access(&request);
+        let access = self.access(&request).await;
         let who = match &access {
             Ok(access) => access.principal.name.clone(),
             Err(_) => "(denied)".to_owned(),
@@ -61,8 +61,8 @@
         response
     }
 
-    fn access(&self, request: &Request) -> Result<Access, Box<Problem>> {
-        if !self.entry.config().is_ready() {
+    async fn access(&self, request: &Request) -> Result<Access, Box<Problem>> {
+        if !self.entry.config().ready().await {
             let detail = "this instance has no configuration yet";
             let status = StatusCode::SERVICE_UNAVAILABLE;
             return Err(Problem::refused(status, "starting", detail));
--- a/crates/bluebellpath/src/daemon/error.rs
+++ b/crates/bluebellpath/src/daemon/error.rs
@@ -10,6 +10,12 @@
     /// Listening on an address.
     #[display("listen")]
     Listen,
+    /// Reading the key shared with peers.
+    #[display("key for peers")]
+    Key,
+    /// Hearing the signals of a planned stop.
+    #[display("signals")]
+    Signals,
 }
 
 /// Daemon that can't run.
--- a/crates/bluebellpath/src/entry/forward.rs
+++ b/crates/bluebellpath/src/entry/forward.rs
@@ -53,9 +53,9 @@
             Reply::Answer(answer) => Passed::Answer(Rc::new(*answer)),
             Reply::Mismatch => Passed::Refusal(Refusal::Mismatch { id }),
             Reply::Full => Passed::Refusal(Refusal::Full { id }),
-            // A peer answers a configuration only when asked for one.
-            Reply::Missing | Reply::Config(_) => Passed::Missing,
-            Reply::NotOwner => continue,
+            Reply::Missing => Passed::Missing,
+            // A peer of another version may answer what was not asked.
+            Reply::NotOwner | Reply::Promise(_) | Reply::Account(_) | Reply::Config(_) => continue,
         };
     }
     Passed::NotHome
--- a/crates/bluebellpath/src/entry/home.rs
+++ b/crates/bluebellpath/src/entry/home.rs
@@ -41,6 +41,8 @@
     if let Some(settled) = join(state, id, submission).await {
         return settled;
     }
+    // Most instances start within a few milliseconds.
+    state.env.config.ready().await;
     let waited = waited + (clock::now() - arrived);
     if let Err(settled) = admit(state, id, submission, waited).await {
         return settled;
@@ -215,6 +217,9 @@
             })
         }
         Some(Claim::Moved) => Right::Moved,
+        Some(Claim::Doubtful) => Right::Unknown(
+            "the key may have been used by an instance that is gone; this request started nothing",
+        ),
         Some(Claim::Busy) => {
             Right::Unknown("too many keys wait for the store; this request started nothing")
         }
@@ -263,12 +268,19 @@
 }
 
 fn refuse(job: &Job, refusal: dispatch::Refusal) {
-    let detail = match refusal.reason {
-        Reason::TooLarge => "no target takes tasks of this size",
-        Reason::Deadline => "the deadline is below the least possible time",
-        Reason::Quota => "the team is over its quota",
-        Reason::Overload => "too much work waits already",
+    let (reason, detail) = match refusal.reason {
+        Reason::TooLarge => (
+            crate::job::Reason::TooLarge,
+            "no target takes tasks of this size",
+        ),
+        Reason::Deadline => (
+            crate::job::Reason::Deadline,
+            "the deadline is below the least possible time",
+        ),
+        Reason::Quota => (crate::job::Reason::Quota, "the team is over its quota"),
+        Reason::Overload => (crate::job::Reason::Overload, "too much work waits already"),
     };
+    job.set_reason(reason);
     let retry_after_ms = refusal.retry_after.map(|it| it.as_millis() as u64);
     job.set_cause(Cause {
         detail: detail.to_owned(),
--- a/crates/bluebellpath/src/entry/mod.rs
+++ b/crates/bluebellpath/src/entry/mod.rs
@@ -23,6 +23,7 @@
 mod home;
 mod job;
 mod jobs;
+mod lifecycle;
 mod names;
 mod order;
 mod planted;
@@ -36,6 +37,7 @@
 
 pub use config::Config;
 pub use env::Env;
+pub use lifecycle::Work;
 pub use planted::Planted;
 pub use refusal::Refusal;
 
@@ -51,6 +53,7 @@
     config::{Current, Follower},
     job::{Answer, Id, Submission, Ticket},
     peer::{Membership, Source},
+    platform::Table,
 };
 
 /// One entry instance.
@@ -82,19 +85,15 @@
 
     fn follower(&self) -> Rc<Follower> {
         let Env {
-            config,
-            table,
-            link,
-            log,
-            ..
+            config, link, log, ..
         } = self.0.env.clone();
-        Rc::new(Follower::new(
-            config,
-            table,
-            self.0.membership.clone(),
-            link,
-            log,
-        ))
+        let (table, membership) = (self.config_table(), self.0.membership.clone());
+        Rc::new(Follower::new(config, table, membership, link, log))
+    }
+
+    /// Table as the configuration uses it, past the limits for other work.
+    pub fn config_table(&self) -> Rc<dyn Table> {
+        self.0.direct.clone()
     }
 
     /// Configuration that this instance acts under.
--- a/crates/bluebellpath/src/entry/pump.rs
+++ b/crates/bluebellpath/src/entry/pump.rs
@@ -80,6 +80,7 @@
     let task = job.task(assignment.task);
     let fence = Rc::new(Right {
         job: job.clone(),
+        held_until: state.claims.held_until(),
         planted: state.config.planted,
     });
     let start = Start {
@@ -245,10 +246,15 @@
 
 /// Keeps the dispatcher's targets as the instance list has them.
 pub(super) async fn follow_targets(state: Rc<State>) {
+    let mut roll = platform::Roll::new(state.config.domain);
     loop {
-        match state.env.instances.instances().await {
-            Ok(instances) => {
+        match roll.refresh(state.env.instances.as_ref()).await {
+            Ok(false) => {}
+            Ok(true) => {
+                let instances = roll.instances();
                 state.membership.observe(&instances);
+                let entries = instances.iter().filter(|it| it.role == Role::Entry);
+                state.platform.share(entries.count());
                 set_targets(&state, instances);
             }
             Err(error) => warn!(state.env.log, "no instance list"; "error" => %error),
--- a/crates/bluebellpath/src/entry/state.rs
+++ b/crates/bluebellpath/src/entry/state.rs
@@ -9,12 +9,12 @@
 use bluebellpath_dispatch::{Dispatcher, TargetId};
 use bluebellpath_runtime::Notify;
 
-use super::{Config, Env, jobs::Jobs, names::Names, order::Order};
+use super::{Config, Env, Planted, jobs::Jobs, names::Names, order::Order};
 use crate::{
     admin::Outcomes,
     owner::{Claims, Tickets},
     peer::{Heartbeat, Identity, Load, Membership, Phase, Source},
-    platform::Instance,
+    platform::{Guarded, Instance, Table},
     record::Log,
 };
 
@@ -22,6 +22,10 @@
 pub(super) struct State {
     pub(super) config: Config,
     pub(super) env: Env,
+    pub(super) platform: Rc<Guarded>,
+    /// The table past the guard, for the configuration: its rate is bounded by
+    /// its own timing, and no backlog of other work may delay it.
+    pub(super) direct: Rc<dyn Table>,
     pub(super) jobs: Jobs,
     pub(super) membership: Rc<Membership>,
     pub(super) order: Order,
@@ -36,6 +40,8 @@
     pub(super) teams: Names,
     pub(super) kinds: Names,
     pub(super) target_names: Names,
+    /// Where the instance stands in its life, as peers and balancers see it.
+    pub(super) phase: Cell<Phase>,
     turns: Cell<usize>,
 }
 
@@ -47,11 +53,21 @@
             domain: config.domain,
             address: config.address,
         };
+        let direct = env.table.clone();
+        let platform = Rc::new(guarded(&config, &env));
+        let env = Env {
+            table: platform.clone(),
+            objects: platform.clone(),
+            instances: platform.clone(),
+            ..env
+        };
         let membership = Membership::new(identity, env.link.clone(), config.membership);
         let membership = Rc::new(membership);
         let table = env.table.clone();
-        let claims = Claims::new(table, membership.clone(), config.domains, config.owner);
-        let window = config.owner.max_tickets;
+        let mut owner = config.owner;
+        owner.forget_promises |= config.planted == Some(Planted::ForgetPromise);
+        let claims = Claims::new(table, membership.clone(), config.domains, owner);
+        let window = owner.max_tickets;
         State {
             membership,
             jobs: Jobs::default(),
@@ -66,9 +82,12 @@
             teams: Names::default(),
             kinds: Names::default(),
             target_names: Names::default(),
+            phase: Cell::new(Phase::Serving),
             turns: Cell::new(0),
             config,
             env,
+            platform,
+            direct,
         }
     }
 
@@ -79,13 +98,19 @@
     }
 }
 
+fn guarded(config: &Config, env: &Env) -> Guarded {
+    let (table, objects) = (env.table.clone(), env.objects.clone());
+    let seed = config.incarnation.to_u64();
+    Guarded::new(table, objects, env.instances.clone(), config.platform, seed)
+}
+
 impl Source for State {
     fn fill(&self, heartbeat: &mut Heartbeat) {
         let dispatcher = self.dispatcher.borrow();
         let config = &self.env.config;
-        heartbeat.phase = match config.is_ready() {
-            true => Phase::Serving,
-            false => Phase::Starting,
+        heartbeat.phase = match self.phase.get() {
+            Phase::Serving if !config.is_ready() => Phase::Starting,
+            phase => phase,
         };
         heartbeat.config_version = config.newest();
         heartbeat.config_read_ms = config.read_ms();
--- a/crates/bluebellpath/src/peer/message.rs
+++ b/crates/bluebellpath/src/peer/message.rs
@@ -2,8 +2,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::config::Update;
-use crate::job::{Answer, Id, Submission};
+use crate::{
+    config::Update,
+    job::{Answer, Id, Incarnation, Submission},
+    owner::{Account, Hold, Promise},
+};
 
 /// Request from one entry instance to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -38,6 +41,13 @@
         /// Newest version that the sender knows, 0 without one.
         after: u64,
     },
+    /// Promise not to take over, and remember claims.
+    Hold(Hold),
+    /// Tell what is known of a peer's tenure.
+    Account {
+        /// That peer.
+        holder: Incarnation,
+    },
 }
 
 /// Reply to a [`Request`].
@@ -55,4 +65,8 @@
     NotOwner,
     /// What follows the configuration version.
     Config(Box<Update>),
+    /// Whether the promise is given.
+    Promise(Promise),
+    /// What is known of a peer's tenure.
+    Account(Account),
 }
--- a/crates/bluebellpath/tests/config_sessions/session.rs
+++ b/crates/bluebellpath/tests/config_sessions/session.rs
@@ -344,7 +344,7 @@
         if !entry.config().is_ready() {
             return;
         }
-        let proposer = Proposer::new(entry.env().table.clone(), entry.config().clone());
+        let proposer = Proposer::new(entry.config_table(), entry.config().clone());
         let operation = self.operation(number, entry.config().newest());
         let id = operation.id.clone();
         if self.plant == Some(Plant::FalseRefusals) {
