--- a/crates/bluebellpath/src/caller/problem.rs
+++ b/crates/bluebellpath/src/caller/problem.rs
@@ -89,6 +89,7 @@
     match reason {
         Some(Reason::Quota) => (StatusCode::TOO_MANY_REQUESTS, "quota"),
         Some(Reason::Overload) => (StatusCode::SERVICE_UNAVAILABLE, "overload"),
+        Some(Reason::Starting) => (StatusCode::SERVICE_UNAVAILABLE, "starting"),
         Some(Reason::TooLarge) => (StatusCode::UNPROCESSABLE_ENTITY, "too-large"),
         Some(Reason::Deadline) => (StatusCode::UNPROCESSABLE_ENTITY, "deadline"),
         None => (StatusCode::SERVICE_UNAVAILABLE, "not-run"),
--- a/crates/bluebellpath/src/entry/mod.rs
+++ b/crates/bluebellpath/src/entry/mod.rs
@@ -12,6 +12,7 @@
 */
 
 mod ask;
+mod audit;
 mod check;
 mod config;
 mod doubt;
@@ -25,6 +26,7 @@
 mod jobs;
 mod lifecycle;
 mod names;
+mod observe;
 mod order;
 mod planted;
 mod pump;
@@ -53,7 +55,8 @@
     config::{Current, Follower},
     job::{Answer, Id, Submission, Ticket},
     peer::{Membership, Source},
-    platform::Table,
+    platform::{Guarded, Table},
+    record::Log,
 };
 
 /// One entry instance.
@@ -75,6 +78,7 @@
         ));
         drop(bluebellpath_runtime::spawn(self.follower().run()));
         drop(bluebellpath_runtime::spawn(drains::follow(self.0.clone())));
+        drop(bluebellpath_runtime::spawn(self.0.record.clone().run()));
         self.0.claims.start();
         drop(bluebellpath_runtime::spawn(evict::run(self.0.clone())));
         drop(bluebellpath_runtime::spawn(pump::run(self.0.clone())));
@@ -121,6 +125,16 @@
         &self.0.membership
     }
 
+    /// Record of this incarnation.
+    pub fn record(&self) -> &Rc<Log> {
+        &self.0.record
+    }
+
+    /// Platform as this instance meets it.
+    pub fn platform(&self) -> &Rc<Guarded> {
+        &self.0.platform
+    }
+
     /// Hands out a job id that only this incarnation will ever start.
     pub fn ticket(&self) -> Ticket {
         self.0.tickets.issue()
--- a/crates/bluebellpath/src/entry/state.rs
+++ b/crates/bluebellpath/src/entry/state.rs
@@ -7,11 +7,12 @@
 };
 
 use bluebellpath_dispatch::{Dispatcher, TargetId};
-use bluebellpath_runtime::Notify;
+use bluebellpath_runtime::{Instant, Notify, clock};
 
 use super::{Config, Env, Planted, jobs::Jobs, names::Names, order::Order};
 use crate::{
     admin::Outcomes,
+    metric::Meters,
     owner::{Claims, Tickets},
     peer::{Heartbeat, Identity, Load, Membership, Phase, Source},
     platform::{Guarded, Instance, Table},
@@ -31,7 +32,9 @@
     pub(super) order: Order,
     pub(super) claims: Rc<Claims>,
     pub(super) tickets: Tickets,
-    pub(super) record: Log,
+    pub(super) record: Rc<Log>,
+    /// When the instance list was last read.
+    pub(super) listed: Cell<Instant>,
     pub(super) outcomes: Outcomes,
     pub(super) dispatcher: RefCell<Dispatcher>,
     /// Signals that the dispatcher may have something to start.
@@ -42,6 +45,7 @@
     pub(super) target_names: Names,
     /// Where the instance stands in its life, as peers and balancers see it.
     pub(super) phase: Cell<Phase>,
+    pub(super) meters: Meters,
     turns: Cell<usize>,
 }
 
@@ -74,7 +78,8 @@
             order: Order::new(config.planted),
             claims: Rc::new(claims),
             tickets: Tickets::new(config.domain, config.incarnation, window),
-            record: Log::new(),
+            record: Rc::new(log(&config, &env)),
+            listed: Cell::new(clock::now()),
             outcomes: Outcomes::default(),
             dispatcher: RefCell::new(Dispatcher::new(Default::default())),
             work: Notify::new(),
@@ -83,6 +88,7 @@
             kinds: Names::default(),
             target_names: Names::default(),
             phase: Cell::new(Phase::Serving),
+            meters: Meters::default(),
             turns: Cell::new(0),
             config,
             env,
@@ -98,6 +104,17 @@
     }
 }
 
+fn log(config: &Config, env: &Env) -> Log {
+    let (table, objects) = (env.table.clone(), env.objects.clone());
+    Log::new(
+        &config.name,
+        config.incarnation,
+        config.record,
+        table,
+        objects,
+    )
+}
+
 fn guarded(config: &Config, env: &Env) -> Guarded {
     let (table, objects) = (env.table.clone(), env.objects.clone());
     let seed = config.incarnation.to_u64();
@@ -109,6 +126,7 @@
         let dispatcher = self.dispatcher.borrow();
         let config = &self.env.config;
         heartbeat.phase = match self.phase.get() {
+            _ if self.claims.is_releasing() => Phase::Draining,
             Phase::Serving if !config.is_ready() => Phase::Starting,
             phase => phase,
         };
--- a/crates/bluebellpath/src/job/reason.rs
+++ b/crates/bluebellpath/src/job/reason.rs
@@ -16,6 +16,9 @@
     /// The team is over its quota.
     #[display("quota")]
     Quota,
+    /// The instance has no configuration yet.
+    #[display("starting")]
+    Starting,
     /// Too much work waits already.
     #[display("overload")]
     Overload,
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,10 +1,12 @@
 //! The operators' tool.
 
 mod demo;
+mod dump;
 mod operate;
 
 use std::{
     io::{self, Write as _},
+    net::SocketAddr,
     process::ExitCode,
 };
 
@@ -19,6 +21,13 @@
             let seed = *matches.get_one("seed").expect("clap fills in the default");
             demo::run(&demo::Config { jobs, seed })
         }
+        Some(("dump", matches)) => {
+            let entry: &SocketAddr = matches
+                .get_one("entry")
+                .expect("clap requires the argument");
+            let limit = *matches.get_one("limit").expect("clap fills in the default");
+            dump::run(*entry, limit)
+        }
         Some(("completions", matches)) => {
             let shell: Shell = *matches.get_one("shell").expect("clap requires it");
             let mut script = Vec::new();
@@ -50,6 +59,18 @@
                 .arg(number("jobs", "60").help("Jobs to submit"))
                 .arg(number("seed", "1").help("Seed of the jobs")),
         )
+        .subcommand(
+            Command::new("dump")
+                .about("Shows the tables of an entry instance")
+                .arg(
+                    Arg::new("entry")
+                        .long("entry")
+                        .help("Address of the instance")
+                        .required(true)
+                        .value_parser(value_parser!(SocketAddr)),
+                )
+                .arg(number("limit", "100").help("Most rows of each table")),
+        )
         .subcommand(
             Command::new("completions")
                 .about("Prints completions for a shell")
