--- a/crates/bluebellpath/src/config/current.rs
+++ b/crates/bluebellpath/src/config/current.rs
@@ -1,12 +1,18 @@
 //! The configuration that this instance acts under.
 
-use std::{cell::RefCell, rc::Rc};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use bluebellpath_runtime::{Notify, clock};
 
 use super::{Accepted, Document, Snapshot, Timing, Update, View, known::Known};
 use crate::platform::Instance;
 
+/// Longest wait of a request for the configuration of a starting instance.
+const READY_WAIT: Duration = Duration::from_secs(1);
+
+/// Time between two looks at whether an instance may act.
+const READY_STEP: Duration = Duration::from_millis(20);
+
 /// Configuration that this instance acts under.
 ///
 /// [`Current::view`] reads the wall clock at each call, so that an instance that
@@ -63,6 +69,15 @@
             .is_some_and(|it| it.acts_from_ms <= clock::wall())
     }
 
+    /// Waits a little for a configuration; true once there is one to act under.
+    pub async fn ready(&self) -> bool {
+        let deadline = clock::now() + READY_WAIT;
+        while !self.is_ready() && clock::now() < deadline {
+            clock::timeout(READY_STEP, self.changed.notified()).await;
+        }
+        self.is_ready()
+    }
+
     /// True once this instance has a configuration, whether or not it may act
     /// under it already.
     pub(super) fn is_loaded(&self) -> bool {
--- a/crates/bluebellpath/src/config/follower.rs
+++ b/crates/bluebellpath/src/config/follower.rs
@@ -109,7 +109,12 @@
     async fn read_once(&self) -> Result<(), Error> {
         // Taken before the request: the reading shows what was there after it.
         let read_ms = clock::wall();
-        let ahead = self.store.ahead(self.current.newest()).await?;
+        let newest = self.current.newest();
+        let ahead = clock::timeout(self.timing().reading, self.store.ahead(newest)).await;
+        // One that takes longer would confirm nothing any more.
+        let Some(ahead) = ahead.transpose()? else {
+            return Ok(());
+        };
         let Some(reading) = ahead.reading else {
             return self.found().await;
         };
--- a/crates/bluebellpath/src/config/timing.rs
+++ b/crates/bluebellpath/src/config/timing.rs
@@ -11,6 +11,8 @@
     pub max_skew: Duration,
     /// Time between two readings of the head.
     pub interval: Duration,
+    /// Longest wait for a reading.
+    pub reading: Duration,
     /// Age of the last reading from which an instance reads by itself.
     pub stale: Duration,
     /// Further age for each rank behind the readers.
@@ -32,6 +34,7 @@
             delay: Duration::from_millis(3400),
             max_skew: Duration::from_millis(50),
             interval: Duration::from_millis(500),
+            reading: Duration::from_secs(4),
             stale: Duration::from_millis(1700),
             stale_step: Duration::from_millis(500),
             settle: Duration::from_secs(2),
--- a/crates/bluebellpath/src/entry/home.rs
+++ b/crates/bluebellpath/src/entry/home.rs
@@ -41,6 +41,8 @@
     if let Some(settled) = join(state, id, submission).await {
         return settled;
     }
+    // Most instances start within a few milliseconds.
+    state.env.config.ready().await;
     let waited = waited + (clock::now() - arrived);
     if let Err(settled) = admit(state, id, submission, waited).await {
         return settled;
--- a/crates/bluebellpath/src/job/reason.rs
+++ b/crates/bluebellpath/src/job/reason.rs
@@ -16,10 +16,10 @@
     /// The team is over its quota.
     #[display("quota")]
     Quota,
-    /// Too much work waits already.
-    #[display("overload")]
-    Overload,
     /// The instance has no configuration yet.
     #[display("starting")]
     Starting,
+    /// Too much work waits already.
+    #[display("overload")]
+    Overload,
 }
--- a/crates/bluebellpath/tests/config.rs
+++ b/crates/bluebellpath/tests/config.rs
@@ -160,7 +160,7 @@
 }
 
 fn proposer(entry: &Entry) -> Proposer {
-    Proposer::new(entry.env().table.clone(), entry.config().clone())
+    Proposer::new(entry.config_table(), entry.config().clone())
 }
 
 fn operation(id: &str, base: u64, change: Change) -> Operation {
@@ -561,6 +561,8 @@
                 let id: Id = "order-1".parse().expect("a valid key");
                 let answer = entry.submit(id, submission(32)).await;
                 answer.expect("the instance serves");
+                // Lets writes end that the answer did not wait for.
+                clock::sleep(SETTLE).await;
                 let runs = fleet.targets.runs();
                 let used = |name: &str| runs[before..].iter().any(|it| it.target == name);
                 for target in ["target-0-0", "target-0-1", "target-0-2", "target-0-3"] {
