Hand shards over at the start of a planned stop; 4 shards for a domain

Change: shards are handed over after the grace, before the wait for the last job, whose claim names the instance that goes on with it; 4 shards.

--- a/crates/bluebellpath/src/daemon/life.rs
+++ b/crates/bluebellpath/src/daemon/life.rs
@@ -3,8 +3,8 @@
 
 Each stage is a type, and only its methods lead on, so that nothing is closed
 before the balancer had time to see that the instance is not ready. A drain
-goes in this order: not ready, but accepting for the grace; listener closed once
-its backlog is empty; connections ended one by one as they fall idle; jobs
+goes in this order: not ready, but accepting for the grace; shards of callers'
+keys handed to the peers; listener closed once its backlog is empty; connections ended one by one as they fall idle; jobs
 without an answer waited for. Its limit, or a second request to stop, ends it
 with work left, and [`Life::left`] says which.
 */
@@ -121,6 +121,9 @@
 
     async fn drain(&self) -> bool {
         clock::sleep(self.times.grace).await;
+        // Peers pass on no new work for callers' keys once others own them;
+        // under load an owner would never be idle.
+        self.entry.hand_over().await;
         self.closer.close();
         let idle = async {
             while !self.closer.is_done() || !self.entry.work().is_done() {
@@ -130,7 +133,7 @@
         if clock::timeout(self.times.limit, idle).await.is_none() {
             return false;
         }
-        match clock::timeout(MAX_RELEASE, self.entry.release()).await {
+        match clock::timeout(MAX_RELEASE, self.entry.close()).await {
             Some(Ok(())) => true,
             Some(Err(error)) => {
                 warn!(self.log, "record not written to its end"; "error" => %error);
--- a/crates/bluebellpath/src/entry/lifecycle.rs
+++ b/crates/bluebellpath/src/entry/lifecycle.rs
@@ -49,12 +49,16 @@
         !self.0.targets.borrow().is_empty()
     }
 
-    /// Hands over what outlives this instance, at the end of a planned stop:
-    /// the shards of keys, the record, and word to the peers. Errs when the
-    /// record could not be written to its end.
-    pub async fn release(&self) -> Result<(), platform::Error> {
+    /// Hands the shards of callers' keys to the peers; jobs that were claimed
+    /// here go on here.
+    pub async fn hand_over(&self) {
         // Without the store, leases lapse by themselves.
         clock::timeout(CLOSE_LIMIT, self.release_ownership()).await;
+    }
+
+    /// Ends a planned stop: the record, and word to the peers. Errs when the
+    /// record could not be written to its end.
+    pub async fn close(&self) -> Result<(), platform::Error> {
         let written = self.close_record().await;
         self.0.membership.leave(self.0.as_ref());
         written
--- a/crates/bluebellpath/src/owner/config.rs
+++ b/crates/bluebellpath/src/owner/config.rs
@@ -45,13 +45,13 @@
 }
 
 impl Default for Config {
-    /// 16 shards; leases of 3 s with a margin of 500 ms, renewed each second
+    /// 4 shards; leases of 3 s with a margin of 500 ms, renewed each second
     /// and read each 500 ms; 300 transactions a second; claims kept for 1 h;
     /// instances known after 6 s, 10 min of doubt; 500,000 known keys, 50,000
     /// remembered claims, a million tickets.
     fn default() -> Config {
         Config {
-            shards: 16,
+            shards: 4,
             lease: Duration::from_secs(3),
             margin: Duration::from_millis(500),
             renewal: Duration::from_secs(1),
