--- a/crates/cli/src/demo/job.rs
+++ b/crates/cli/src/demo/job.rs
@@ -12,6 +12,10 @@
     ("dispatch", "crew"),
 ];
 
+/// Callers of each kind. One caller's answers come in order, so few callers
+/// would wait for each other's.
+const CALLERS: u32 = 500;
+
 /// Job with what is known of it beforehand.
 pub struct Job {
     /// What is submitted.
@@ -26,8 +30,9 @@
     let run_times: Vec<u64> = (0..tasks).map(|_| rng.random_range(50..=300)).collect();
     let longest = run_times.iter().copied().max().unwrap_or_default();
     let (kind, caller) = KINDS[rng.random_range(0..KINDS.len())];
+    let person = rng.random_range(0..CALLERS);
     let task = |run_ms: &u64| Spec {
-        caller: format!("{caller}-{}", run_ms % 7),
+        caller: format!("{caller}-{person}"),
         kind: kind.to_owned(),
         payload: serde_json::json!({ "run_ms": run_ms }).to_string(),
         run_time_ms: Some(*run_ms),
--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -32,6 +32,9 @@
 /// Longest pause between two submissions, in milliseconds.
 const MAX_PAUSE_MS: u64 = 160;
 
+/// Time between two questions whether the instance is ready.
+const READY_POLL: Duration = Duration::from_millis(20);
+
 /// Wait for an answer, longer than any deadline in the demonstration.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -62,6 +65,9 @@
     let mut rng = StdRng::seed_from_u64(config.seed);
     let tally = Rc::new(RefCell::new(Tally::default()));
     let client = Client::new(ClientConfig::default());
+    while !is_ready(&client, system.entry).await {
+        clock::sleep(READY_POLL).await;
+    }
     let mut handles = Vec::new();
     for number in 0..config.jobs {
         let job = job::random(&mut rng);
@@ -89,6 +95,12 @@
     tally.take()
 }
 
+async fn is_ready(client: &Client, entry: std::net::SocketAddr) -> bool {
+    let request = Request::new(Method::GET, "/health/ready");
+    let response = client.send(entry, request, ANSWER_TIMEOUT).await;
+    response.is_ok_and(|it| it.status.is_success())
+}
+
 async fn submit(
     client: &Client,
     entry: std::net::SocketAddr,
