--- a/crates/bluebellpath/src/entry/forward.rs
+++ b/crates/bluebellpath/src/entry/forward.rs
@@ -55,7 +55,11 @@
             Reply::Full => Passed::Refusal(Refusal::Full { id }),
             Reply::Missing => Passed::Missing,
             // A peer of another version may answer what was not asked.
-            Reply::NotOwner | Reply::Promise(_) | Reply::Account(_) | Reply::Config(_) => continue,
+            Reply::NotOwner
+            | Reply::Promise(_)
+            | Reply::Account(_)
+            | Reply::Config(_)
+            | Reply::Fleet(_) => continue,
         };
     }
     Passed::NotHome
--- a/crates/bluebellpath/src/entry/serve.rs
+++ b/crates/bluebellpath/src/entry/serve.rs
@@ -43,6 +43,8 @@
                 Request::Cancel { id, hops } => asked(&state, Ask::Cancel, &id, hops).await,
                 Request::Hold(hold) => Reply::Promise(state.claims.promise(hold)),
                 Request::Account { holder } => Reply::Account(state.claims.account(holder)),
+                // An entry whose targets have plain slots has no part in it.
+                Request::Fleet(_) => Reply::Missing,
             }
         })
     }
--- a/crates/bluebellpath/src/http/server.rs
+++ b/crates/bluebellpath/src/http/server.rs
@@ -40,6 +40,12 @@
     /// Answers one request.
     fn call(&self, request: Request) -> LocalFuture<'static, Response>;
 
+    /// True where nobody has a use for an answer once its caller is gone; the
+    /// call is dropped then.
+    fn ends_with_caller(&self) -> bool {
+        false
+    }
+
     /// Answers input that is no valid request.
     fn malformed(&self, status: StatusCode, fault: Fault) -> Response {
         Response::new(status).with_body(fault.to_string())
@@ -176,7 +182,10 @@
         let (response, keep) = match received {
             Ok((request, keep)) => {
                 let bodiless = request.method == Method::HEAD;
-                let mut response = shared.service.call(request).await;
+                let call = shared.service.call(request);
+                let Some(mut response) = answer(call, &mut reader, &shared).await else {
+                    return;
+                };
                 if bodiless {
                     response.body.clear();
                 }
@@ -199,6 +208,23 @@
     linger(reader, write, &shared.limits).await;
 }
 
+/// Waits for the answer; `None` once the caller has left, where that ends it.
+async fn answer(
+    call: LocalFuture<'static, Response>,
+    reader: &mut Reader<TcpOwnedReadHalf>,
+    shared: &Shared,
+) -> Option<Response> {
+    if !shared.service.ends_with_caller() {
+        return Some(call.await);
+    }
+    match select(call, std::pin::pin!(reader.wait())).await {
+        Either::Left((response, _)) => Some(response),
+        // The next request is here already; its caller waits for this answer.
+        Either::Right((Ok(true), call)) => Some(call.await),
+        Either::Right((Ok(false) | Err(_), _)) => None,
+    }
+}
+
 async fn send_within(
     write: &mut impl AsyncWriteRent,
     response: Response,
--- a/crates/bluebellpath/src/peer/message.rs
+++ b/crates/bluebellpath/src/peer/message.rs
@@ -1,5 +1,6 @@
 //! Requests between entry instances.
 
+use bluebellpath_fleet::member;
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -48,11 +49,22 @@
         /// Newest version that the sender knows, 0 without one.
         after: u64,
     },
+    /// Request on the work of targets with capacity.
+    Fleet(Box<member::Request>),
+}
+
+impl Request {
+    /// True where nobody has a use for the request once its sender is gone.
+    pub fn ends_with_sender(&self) -> bool {
+        matches!(self, Request::Fleet(_))
+    }
 }
 
 /// Reply to a [`Request`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Reply {
+    /// Reply to a request on the work of targets with capacity.
+    Fleet(member::Reply),
     /// Answer of the job.
     Answer(Box<Answer>),
     /// No such job here.
--- a/crates/bluebellpath/src/peer/net/incoming.rs
+++ b/crates/bluebellpath/src/peer/net/incoming.rs
@@ -1,10 +1,13 @@
 //! Accepting side of connections.
 
-use std::{cell::Cell, rc::Rc};
+use std::{cell::Cell, pin::pin, rc::Rc};
 
-use bluebellpath_runtime::spawn;
+use bluebellpath_runtime::{Notify, spawn};
 use futures_channel::mpsc;
-use futures_util::{StreamExt, future::select};
+use futures_util::{
+    StreamExt,
+    future::{Either, select},
+};
 use monoio::{
     io::Splitable,
     net::{TcpListener, TcpStream},
@@ -57,6 +60,7 @@
     let mut writer = Writer::new(write, session, Side::Server, config.message);
     let (replies, mut replied) = mpsc::unbounded::<(u64, Reply)>();
     let running: Rc<Cell<usize>> = Rc::default();
+    let connection = Connection::default();
     let reading = async {
         loop {
             let (number, request) = match reader.read::<(u64, Request)>(config.idle * 3).await {
@@ -70,8 +74,17 @@
             }
             let slot = Slot::new(running.clone());
             let (handler, replies) = (handler.clone(), replies.clone());
+            let ended = connection.0.clone();
             drop(spawn(async move {
-                let reply = handler.handle(request).await;
+                let bound = request.ends_with_sender();
+                let handling = handler.handle(request);
+                let reply = match bound {
+                    true => match select(handling, pin!(ended.notified())).await {
+                        Either::Left((reply, _)) => reply,
+                        Either::Right(_) => return,
+                    },
+                    false => handling.await,
+                };
                 drop(slot);
                 // The connection may have ended meanwhile.
                 let _ = replies.unbounded_send((number, reply));
@@ -90,6 +103,16 @@
     ended.factor_first().0
 }
 
+/// Tells requests that depend on their sender when its connection ends.
+#[derive(Default)]
+struct Connection(Rc<Notify>);
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.0.notify();
+    }
+}
+
 /// Counts something while it lives.
 struct Slot(Rc<Cell<usize>>);
 
--- /dev/null
+++ b/crates/fleet/src/front.rs
@@ -0,0 +1,579 @@
+/*!
+The caller's side: from a job to its answer.
+
+A [`Front`] decides at a job's arrival whether it can be served, hands each task
+to the owner of a target, and answers once all tasks have done their work. What
+it says is true: a job is refused only when none of its tasks has started, and a
+job that is given up after a start is answered as unknown.
+
+A task whose owner is lost is looked for at the others, who find it on the
+targets that they take over. After [`Config::orphan`] it can't be running any
+more: new owners stop what nobody claims, and leases lapse.
+*/
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use bluebellpath_runtime::{Instant, clock, spawn};
+use futures_util::{StreamExt, stream::FuturesUnordered};
+use slog::{Logger, info};
+
+use crate::{
+    Job, Resources, Task,
+    admission::{self, Outlook, Verdict},
+    handover::{self, Distance, Owner},
+    keeper::Keeper,
+    member::{Fault, Peers, Reply, Request, Roster},
+    work::{Ending, Order, Reason},
+};
+
+/// Pause between two searches for a run whose owner was lost.
+const SEARCH_PAUSE: Duration = Duration::from_millis(60);
+
+/// Pause before a task that found no taker is offered again.
+const OFFER_PAUSE: Duration = Duration::from_millis(20);
+
+/// Longest wait for the owners of a job that is taken back; a stop takes less.
+const RECALL_WAIT: Duration = Duration::from_millis(400);
+
+/// Time for which a peer whose call failed gets no new work.
+const PEER_PAUSE: Duration = Duration::from_millis(300);
+
+/// Multiple of the goal after which an answer is worth nothing to its caller.
+const LATE_FACTOR: u32 = 3;
+
+/// Run numbers that one task may use.
+const MAX_RUNS: u32 = 64;
+
+/// Thousandths of a core in a core.
+const MILLICORES: u32 = 1_000;
+
+/// Timing and identity of a front.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Name of the instance.
+    pub name: Rc<str>,
+    /// Failure domain of the instance.
+    pub domain: Rc<str>,
+    /// Address at which peers know the instance.
+    pub address: SocketAddr,
+    /// Time after which a run that nobody has found is over for certain.
+    pub orphan: Duration,
+}
+
+/// Part of a job whose tasks are alike.
+#[derive(Clone, Debug)]
+pub struct Step {
+    /// Number of tasks.
+    pub count: u16,
+    /// What each takes.
+    pub resources: Resources,
+    /// Declared run time.
+    pub estimate: Duration,
+    /// Steps that must be done before.
+    pub after: Vec<usize>,
+    /// Label that a target must carry.
+    pub constraint: Option<Rc<str>>,
+    /// Rack that holds the data.
+    pub affinity: Option<Rc<str>>,
+    /// Most tasks on one target, 0 for any number.
+    pub spread: u16,
+}
+
+/// Job as its queue takes it.
+#[derive(Clone, Debug)]
+pub struct Submission {
+    /// Id.
+    pub job: Job,
+    /// What to run.
+    pub spec: Rc<str>,
+    /// Steps.
+    pub steps: Vec<Step>,
+    /// Service whose targets may run it.
+    pub service: Rc<str>,
+    /// Priority, 0 first.
+    pub priority: u8,
+    /// Failures of one task after which the job has failed.
+    pub max_attempts: u32,
+    /// Time in which it should be answered.
+    pub goal: Duration,
+    /// Time for which the caller waits.
+    pub deadline: Duration,
+}
+
+/// Answer to a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// All tasks have done their work.
+    Completed,
+    /// A task has failed as often as allowed, or can't run at all.
+    Failed,
+    /// Nothing of it has run or will; room is expected after this time.
+    Refused(Duration),
+    /// Given up after something of it may have run.
+    Unknown,
+}
+
+/// Counts of answers since the start.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    /// Jobs completed.
+    pub completed: u64,
+    /// Jobs failed.
+    pub failed: u64,
+    /// Jobs refused.
+    pub refused: u64,
+    /// Jobs given up.
+    pub unknown: u64,
+    /// Jobs whose caller left.
+    pub left: u64,
+}
+
+/// Takes jobs.
+#[derive(Clone)]
+pub struct Front(Rc<Shared>);
+
+struct Shared {
+    config: Config,
+    keeper: Keeper,
+    roster: Rc<Roster>,
+    peers: Rc<dyn Peers>,
+    log: Logger,
+    jobs: RefCell<HashMap<Job, Rc<str>>>,
+    failing: RefCell<BTreeMap<SocketAddr, Instant>>,
+    counts: Cell<Counts>,
+}
+
+/// What happened to one task.
+enum Outcome {
+    Done,
+    Failed,
+    Refused(Reason),
+    GivenUp,
+}
+
+impl Front {
+    /// Front of an instance.
+    pub fn new(
+        config: Config,
+        keeper: Keeper,
+        roster: Rc<Roster>,
+        peers: Rc<dyn Peers>,
+        log: Logger,
+    ) -> Front {
+        Front(Rc::new(Shared {
+            config,
+            keeper,
+            roster,
+            peers,
+            log,
+            jobs: RefCell::default(),
+            failing: RefCell::default(),
+            counts: Cell::default(),
+        }))
+    }
+
+    /// Jobs in progress.
+    pub fn open(&self) -> usize {
+        self.0.jobs.borrow().len()
+    }
+
+    /// Jobs of a service's queue of which no task has started.
+    pub fn counts(&self) -> Counts {
+        self.0.counts.get()
+    }
+
+    /// Serves a job; dropping the future stops its tasks.
+    pub async fn submit(&self, submission: Submission) -> Answer {
+        let shared = &self.0;
+        let since = clock::now();
+        let job = submission.job;
+        if shared.jobs.borrow().contains_key(&job) {
+            info!(shared.log, "job is in progress already"; "job" => %job);
+            return Answer::Unknown;
+        }
+        let _open = Open::new(shared, job, submission.service.clone());
+        let answer = shared.serve(&submission, since).await;
+        shared.count(|it| match answer {
+            Answer::Completed => it.completed += 1,
+            Answer::Failed => it.failed += 1,
+            Answer::Refused(_) => it.refused += 1,
+            Answer::Unknown => it.unknown += 1,
+        });
+        let took = clock::now() - since;
+        info!(shared.log, "job answered"; "job" => %job, "answer" => ?answer,
+            "took_ms" => millis(took), "goal_ms" => millis(submission.goal),
+            "deadline_ms" => millis(submission.deadline), "priority" => submission.priority,
+            "tasks" => submission.steps.iter().map(|it| it.count).sum::<u16>());
+        answer
+    }
+}
+
+/// Keeps a job on the list of those in progress.
+struct Open {
+    shared: Rc<Shared>,
+    job: Job,
+}
+
+impl Open {
+    fn new(shared: &Rc<Shared>, job: Job, service: Rc<str>) -> Open {
+        shared.jobs.borrow_mut().insert(job, service);
+        let shared = shared.clone();
+        Open { shared, job }
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.shared.jobs.borrow_mut().remove(&self.job);
+    }
+}
+
+/// One job while it is served.
+struct Ticket<'a> {
+    submission: &'a Submission,
+    since: Instant,
+    /// True once something of it may have run.
+    begun: Cell<bool>,
+    /// True once no more is to be started.
+    ending: Cell<bool>,
+    /// Runs that an owner has and has not answered for.
+    out: RefCell<BTreeMap<(Task, u32), SocketAddr>>,
+}
+
+impl Ticket<'_> {
+    fn left(&self) -> Duration {
+        (self.since + self.submission.deadline) - clock::now()
+    }
+
+    fn goal_left(&self) -> Duration {
+        (self.since + self.submission.goal) - clock::now()
+    }
+}
+
+impl Shared {
+    fn count(&self, change: impl FnOnce(&mut Counts)) {
+        let mut counts = self.counts.get();
+        change(&mut counts);
+        self.counts.set(counts);
+    }
+
+    async fn serve(self: &Rc<Self>, submission: &Submission, since: Instant) -> Answer {
+        if let Verdict::Refuse(retry) = self.admit(submission) {
+            return Answer::Refused(retry);
+        }
+        let ticket = Ticket {
+            submission,
+            since,
+            begun: Cell::new(false),
+            ending: Cell::new(false),
+            out: RefCell::default(),
+        };
+        let steps = self.steps(&ticket);
+        match clock::timeout_at(since + submission.deadline, steps).await {
+            Some(answer) => answer,
+            None => Answer::Unknown,
+        }
+    }
+
+    fn admit(&self, submission: &Submission) -> Verdict {
+        let mut owners = self.owners().0;
+        let mut wait = Duration::ZERO;
+        let mut run = Duration::ZERO;
+        for step in submission.steps.iter().filter(|it| it.after.is_empty()) {
+            run = run.max(step.estimate);
+            for _ in 0..step.count {
+                let chosen = handover::choose(cores(step.resources), step.estimate, &mut owners);
+                // Without any owner the job waits for one, within its limit.
+                let (_, expected) = chosen.unwrap_or((0, submission.deadline));
+                wait = wait.max(expected);
+            }
+        }
+        let limit = (submission.goal * LATE_FACTOR).min(submission.deadline);
+        admission::decide(Outlook { wait, run, limit })
+    }
+
+    async fn steps(self: &Rc<Self>, ticket: &Ticket<'_>) -> Answer {
+        let steps = &ticket.submission.steps;
+        let mut left: Vec<u16> = steps.iter().map(|it| it.count).collect();
+        let mut begun = vec![false; steps.len()];
+        let mut tasks = FuturesUnordered::new();
+        loop {
+            for (number, step) in steps.iter().enumerate() {
+                let ready = step.after.iter().all(|it| left.get(*it) == Some(&0));
+                if begun[number] || !ready {
+                    continue;
+                }
+                begun[number] = true;
+                for index in 0..step.count {
+                    let task = Task {
+                        job: ticket.submission.job,
+                        occurrence: 0,
+                        step: u16::try_from(number).unwrap_or(u16::MAX),
+                        index,
+                    };
+                    let work = self.task(ticket, step, task);
+                    tasks.push(async move { (number, work.await) });
+                }
+            }
+            let Some((number, outcome)) = tasks.next().await else {
+                return Answer::Completed;
+            };
+            match outcome {
+                Outcome::Done => left[number] -= 1,
+                Outcome::Failed => return Answer::Failed,
+                Outcome::GivenUp => return Answer::Unknown,
+                Outcome::Refused(reason) => {
+                    self.recall(ticket);
+                    let others = async { while tasks.next().await.is_some() {} };
+                    clock::timeout(RECALL_WAIT, others).await;
+                    return give_up(&self.log, ticket, reason);
+                }
+            }
+        }
+    }
+
+    /// Takes all runs of a job back; their owners say whether they started.
+    fn recall(&self, ticket: &Ticket<'_>) {
+        ticket.ending.set(true);
+        for (&(task, run), &owner) in ticket.out.borrow().iter() {
+            if owner == self.config.address {
+                self.keeper.cancel(task, run);
+                continue;
+            }
+            let call = self.peers.call(owner, Request::Cancel { task, run });
+            // The answer that counts is that to the run itself.
+            drop(spawn(async move { drop(call.await) }));
+        }
+    }
+
+    /// Sees one task through.
+    async fn task(self: &Rc<Self>, ticket: &Ticket<'_>, step: &Step, task: Task) -> Outcome {
+        let mut failures = 0;
+        for run in 1..=MAX_RUNS {
+            let order = self.order(ticket, step, task, run);
+            let ending = match self.hand_over(ticket, &order).await {
+                Some(ending) => ending,
+                None => self.search(ticket, &order).await,
+            };
+            ticket.out.borrow_mut().remove(&(task, run));
+            if !matches!(ending, Ending::NotStarted(_)) {
+                ticket.begun.set(true);
+            }
+            match ending {
+                Ending::Done => return Outcome::Done,
+                Ending::Failed => {
+                    failures += 1;
+                    if failures >= ticket.submission.max_attempts {
+                        return Outcome::Failed;
+                    }
+                }
+                Ending::Lost | Ending::Moved { .. } => {}
+                Ending::NotStarted(Reason::Stale) => {}
+                Ending::NotStarted(Reason::Invalid) => return Outcome::Failed,
+                Ending::NotStarted(reason @ (Reason::Busy | Reason::Unsuitable)) => {
+                    return Outcome::Refused(reason);
+                }
+                Ending::NotStarted(Reason::Leaving | Reason::Cancelled) => {
+                    clock::sleep(OFFER_PAUSE).await;
+                }
+            }
+            if ticket.ending.get() || ticket.left() <= step.estimate / 2 {
+                return Outcome::Refused(Reason::Busy);
+            }
+        }
+        Outcome::GivenUp
+    }
+
+    fn order(&self, ticket: &Ticket<'_>, step: &Step, task: Task, run: u32) -> Order {
+        let patience = ticket.left().saturating_sub(step.estimate / 2);
+        Order {
+            task,
+            run,
+            spec: ticket.submission.spec.clone(),
+            service: ticket.submission.service.clone(),
+            resources: step.resources,
+            constraint: step.constraint.clone(),
+            affinity: step.affinity.clone(),
+            spread: step.spread,
+            estimate_ms: short(step.estimate),
+            priority: ticket.submission.priority,
+            goal_ms: short(ticket.goal_left()),
+            patience_ms: short(patience),
+            front: self.config.address,
+        }
+    }
+
+    /// Hands a run to an owner; `None` when it may be on any target.
+    async fn hand_over(self: &Rc<Self>, ticket: &Ticket<'_>, order: &Order) -> Option<Ending> {
+        let Some(owner) = self.choose(order) else {
+            clock::sleep(OFFER_PAUSE).await;
+            return Some(Ending::NotStarted(Reason::Leaving));
+        };
+        ticket
+            .out
+            .borrow_mut()
+            .insert((order.task, order.run), owner);
+        if owner == self.config.address {
+            let ending = self.keeper.run(order.clone()).await;
+            return settled(ending);
+        }
+        let recall = Recall::new(self, owner, order);
+        let reply = self.peers.call(owner, Request::Run(order.clone())).await;
+        recall.done();
+        match reply {
+            Ok(Reply::Ended(ending, load)) => {
+                self.roster.note_load(owner, load);
+                settled(ending)
+            }
+            Ok(_) | Err(Fault::NotSent) => {
+                self.distrust(owner);
+                Some(Ending::NotStarted(Reason::Leaving))
+            }
+            Err(Fault::Unknown) => {
+                self.distrust(owner);
+                info!(self.log, "owner lost"; "task" => %order.task, "run" => order.run,
+                    "owner" => %owner);
+                None
+            }
+        }
+    }
+
+    /// Looks for a run at all owners until it is certainly over.
+    async fn search(self: &Rc<Self>, ticket: &Ticket<'_>, order: &Order) -> Ending {
+        ticket.begun.set(true);
+        let end = clock::now() + self.config.orphan;
+        while clock::now() < end {
+            let own = self.keeper.claim(order.clone()).await;
+            if let Some(ending) = own {
+                return ending;
+            }
+            for beacon in self.roster.alive() {
+                let recall = Recall::new(self, beacon.address, order);
+                let reply = self
+                    .peers
+                    .call(beacon.address, Request::Claim(order.clone()));
+                let reply = reply.await;
+                recall.done();
+                if let Ok(Reply::Ended(ending, _)) = reply {
+                    return ending;
+                }
+            }
+            clock::sleep(SEARCH_PAUSE).await;
+        }
+        info!(self.log, "run not found again"; "task" => %order.task, "run" => order.run);
+        Ending::Lost
+    }
+
+    fn distrust(&self, peer: SocketAddr) {
+        let until = clock::now() + PEER_PAUSE;
+        self.failing.borrow_mut().insert(peer, until);
+    }
+
+    fn choose(&self, order: &Order) -> Option<SocketAddr> {
+        let (mut owners, addresses) = self.owners();
+        let run = Duration::from_millis(order.estimate_ms.into());
+        let (index, _) = handover::choose(cores(order.resources), run, &mut owners)?;
+        let address = addresses[index];
+        if address != self.config.address {
+            self.roster.note_load(address, owners[index].load.clone());
+        }
+        Some(address)
+    }
+
+    fn owners(&self) -> (Vec<Owner>, Vec<SocketAddr>) {
+        let now = clock::now();
+        self.failing.borrow_mut().retain(|_, until| *until > now);
+        let failing = self.failing.borrow();
+        let mut owners = vec![Owner {
+            distance: Distance::Own,
+            load: self.keeper.load(),
+            reachable: true,
+        }];
+        let mut addresses = vec![self.config.address];
+        for beacon in self.roster.alive() {
+            owners.push(Owner {
+                distance: match beacon.domain == self.config.domain {
+                    true => Distance::Near,
+                    false => Distance::Far,
+                },
+                load: beacon.load,
+                reachable: !beacon.leaving && !failing.contains_key(&beacon.address),
+            });
+            addresses.push(beacon.address);
+        }
+        (owners, addresses)
+    }
+}
+
+/// Answer to a job that can't be served any more.
+fn give_up(log: &Logger, ticket: &Ticket<'_>, reason: Reason) -> Answer {
+    // A run without an answer may have started.
+    let begun = ticket.begun.get() || !ticket.out.borrow().is_empty();
+    info!(log, "job given up"; "job" => %ticket.submission.job, "cause" => %reason,
+        "begun" => begun);
+    match begun {
+        true => Answer::Unknown,
+        false => Answer::Refused(ticket.submission.goal),
+    }
+}
+
+/// Ending that says where the run is, `None` where it may be on any target.
+fn settled(ending: Ending) -> Option<Ending> {
+    match ending {
+        Ending::Moved { .. } => None,
+        ending => Some(ending),
+    }
+}
+
+/// Takes an order back from its owner when nobody waits for it any more.
+struct Recall {
+    shared: Rc<Shared>,
+    owner: SocketAddr,
+    task: Option<(Task, u32)>,
+}
+
+impl Recall {
+    fn new(shared: &Rc<Shared>, owner: SocketAddr, order: &Order) -> Recall {
+        Recall {
+            shared: shared.clone(),
+            owner,
+            task: Some((order.task, order.run)),
+        }
+    }
+
+    fn done(mut self) {
+        self.task = None;
+    }
+}
+
+impl Drop for Recall {
+    fn drop(&mut self) {
+        let Some((task, run)) = self.task else { return };
+        let call = self
+            .shared
+            .peers
+            .call(self.owner, Request::Cancel { task, run });
+        drop(spawn(async move {
+            // An owner that is lost stops it by itself.
+            let _ = call.await;
+        }));
+    }
+}
+
+fn cores(resources: Resources) -> u16 {
+    u16::try_from(resources.cpu.div_ceil(MILLICORES)).unwrap_or(u16::MAX)
+}
+
+fn short(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/fleet/src/handover.rs
@@ -0,0 +1,65 @@
+/*!
+Choice of the owner to which a task goes.
+
+Load pattern: callers are spread unevenly over instances and failure domains
+while targets are not, so some owners have room while others have a backlog. A
+task goes where a hole is large enough for it, near ones first; without any hole
+it goes where the backlog is done soonest. Loads are a tenth of a second old, so
+each choice is noted in the load at once and one front does not fill the same
+hole twice.
+*/
+
+use std::time::Duration;
+
+use crate::work::Load;
+
+/// Distance to an owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distance {
+    /// This instance.
+    Own,
+    /// Another instance of this failure domain.
+    Near,
+    /// Another failure domain.
+    Far,
+}
+
+/// Owner as far as is known.
+#[derive(Clone, Debug)]
+pub struct Owner {
+    /// Distance.
+    pub distance: Distance,
+    /// Load.
+    pub load: Load,
+    /// False while calls to it fail.
+    pub reachable: bool,
+}
+
+/// Owner for a task of `cores` that takes `run`, with the wait to expect there;
+/// notes the task in the owner's load.
+pub fn choose(cores: u16, run: Duration, owners: &mut [Owner]) -> Option<(usize, Duration)> {
+    let open = |it: &Owner| it.reachable && it.load.cores > 0;
+    let with_hole = owners.iter().enumerate().filter(|(_, it)| open(it));
+    let with_hole = with_hole.filter_map(|(index, it)| {
+        let fitting = it.load.holes.iter().filter(|it| **it >= cores).count();
+        (fitting > 0 && it.load.waiting == 0).then_some((index, it.distance, fitting))
+    });
+    let best = with_hole.min_by_key(|it| (it.1, std::cmp::Reverse(it.2)));
+    if let Some((index, ..)) = best {
+        let holes = &mut owners[index].load.holes;
+        let tightest = holes.iter_mut().filter(|it| **it >= cores).min();
+        if let Some(hole) = tightest {
+            *hole -= cores;
+        }
+        return Some((index, Duration::ZERO));
+    }
+    let backlog = |it: &Owner| it.load.waiting / u64::from(it.load.cores);
+    let open = owners.iter().enumerate().filter(|(_, it)| open(it));
+    let (index, wait) = open
+        .map(|(index, it)| (index, backlog(it)))
+        .min_by_key(|(index, wait)| (*wait, owners[*index].distance))?;
+    let work = u64::from(cores) * u64::try_from(run.as_millis()).unwrap_or(u64::MAX);
+    let load = &mut owners[index].load;
+    load.waiting = load.waiting.saturating_add(work);
+    Some((index, Duration::from_millis(wait)))
+}
--- /dev/null
+++ b/crates/fleet/src/keeper/begin.rs
@@ -0,0 +1,165 @@
+//! Starts and stops of single runs.
+
+use std::{rc::Rc, time::Duration};
+
+use bluebellpath_runtime::{clock, spawn as spawn_task};
+use slog::{debug, info};
+
+use super::{
+    Shared, Waiting,
+    held::{Held, Key, Phase, Run},
+};
+use crate::{
+    orders::{Fault, Start},
+    queue::Place,
+    work::{Ending, Reason},
+};
+
+/// Pause between two orders to stop the same run.
+const STOP_PAUSE: Duration = Duration::from_millis(100);
+
+/// Takes room on a target and sends the start there.
+pub(super) fn spawn(shared: &Rc<Shared>, held: &Rc<Held>, place: Place, waiting: Waiting) {
+    let key = (waiting.order.task, waiting.order.run);
+    let mut state = held.state.borrow_mut();
+    let Some(until_ms) = state.lease(shared.config.lease) else {
+        // Without the target's clock there is no lease; the next look has it.
+        drop(state);
+        shared.enqueue(key, place.start_by, waiting);
+        held.state.borrow_mut().known = false;
+        held.urgent.notify();
+        return;
+    };
+    state.grant(shared.config.lease);
+    let start = Start {
+        task: key.0,
+        run: key.1,
+        spec: waiting.order.spec.clone(),
+        until_ms,
+        fence: state.fence,
+    };
+    let run = Run {
+        phase: Phase::Starting,
+        front: Some(waiting.order.front),
+        order: Some(waiting.order),
+        reply: Some(waiting.reply),
+        since: clock::now(),
+        fence: state.fence,
+        started_ms: None,
+        start_by: place.start_by,
+        give_up: waiting.give_up,
+    };
+    state.runs.insert(key, run);
+    drop(state);
+    drop(spawn_task(begin(shared.clone(), held.clone(), key, start)));
+}
+
+async fn begin(shared: Rc<Shared>, held: Rc<Held>, key: Key, start: Start) {
+    let fence = start.fence;
+    let answer = shared.orders.start(&held.target.borrow().clone(), start);
+    let answer = answer.await;
+    if held.released.get() {
+        return;
+    }
+    let mut state = held.state.borrow_mut();
+    // A look may have found its end before the answer came.
+    let Some(run) = state.runs.get_mut(&key) else {
+        if let Ok(clock_ms) = answer {
+            state.sync(clock_ms);
+        }
+        return;
+    };
+    let stopping = run.phase == Phase::Stopping;
+    debug!(shared.log, "start answered"; "task" => %key.0, "run" => key.1,
+        "target" => %held.target.borrow().id, "answer" => ?answer);
+    match answer {
+        Ok(clock_ms) => {
+            run.started_ms = Some(clock_ms);
+            if !stopping {
+                run.phase = Phase::Running;
+            }
+            state.sync(clock_ms);
+            drop(state);
+            if stopping {
+                stop(shared, held, key).await;
+            }
+            return;
+        }
+        Err(Fault::Unknown) => {
+            if !stopping {
+                run.phase = Phase::Doubtful;
+            }
+            state.trust.fail(clock::now());
+            info!(shared.log, "start in doubt"; "task" => %key.0, "run" => key.1,
+                "target" => %held.target.borrow().id);
+            drop(state);
+            held.urgent.notify();
+            if stopping {
+                stop(shared, held, key).await;
+            }
+            return;
+        }
+        Err(_) => {}
+    }
+    let Some(run) = state.runs.remove(&key) else {
+        return;
+    };
+    match answer {
+        Err(Fault::Fenced) if fence == state.fence => {
+            drop(state);
+            shared.yield_to_other(&held);
+            shared.requeue(key, run);
+        }
+        Err(fault @ (Fault::Stale | Fault::Invalid)) => {
+            drop(state);
+            let reason = match fault {
+                Fault::Stale => Reason::Stale,
+                _ => Reason::Invalid,
+            };
+            if let Some(reply) = run.reply {
+                let _ = reply.send(Ending::NotStarted(reason));
+            }
+        }
+        Err(fault) => {
+            match fault {
+                Fault::Late => state.unsync(),
+                Fault::Unhealthy | Fault::NotSent | Fault::Full => {
+                    state.trust.fail(clock::now());
+                }
+                _ => {}
+            }
+            drop(state);
+            info!(shared.log, "start refused"; "task" => %key.0, "run" => key.1,
+                "target" => %held.target.borrow().id, "fault" => %fault);
+            if matches!(fault, Fault::Late | Fault::Reborn) {
+                held.urgent.notify();
+            }
+            shared.requeue(key, run);
+        }
+        Ok(_) => {}
+    }
+    shared.dispatch();
+}
+
+/// Orders a run to stop until a look shows that it is gone.
+pub(super) async fn stop(shared: Rc<Shared>, held: Rc<Held>, key: Key) {
+    loop {
+        let fence = {
+            let state = held.state.borrow();
+            if held.released.get() || !state.runs.contains_key(&key) {
+                return;
+            }
+            state.fence
+        };
+        let target = held.target.borrow().clone();
+        let stopped = shared.orders.stop(&target, key.0, key.1, fence).await;
+        match stopped {
+            Ok(clock_ms) => held.state.borrow_mut().sync(clock_ms),
+            Err(fault) => {
+                debug!(shared.log, "stop failed"; "task" => %key.0, "run" => key.1,
+                    "target" => %target.id, "fault" => %fault);
+            }
+        }
+        clock::sleep(STOP_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/keeper/held.rs
@@ -0,0 +1,297 @@
+/*!
+What an owner knows of one target.
+
+The target's listings are taken in by its own clock: one that is older than the
+newest is dropped, as answers on different connections overtake each other. A
+start without an answer keeps its room until a listing under a higher fencing
+token shows whether it was carried out.
+*/
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, VecDeque},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use bluebellpath_runtime::{Instant, Notify, clock};
+use futures_channel::oneshot;
+
+use crate::{
+    Resources, Target, Task,
+    orders::{How, Listing},
+    speed::Speed,
+    trust::Trust,
+    work::{Ending, Order},
+};
+
+/// Run of a task.
+pub(super) type Key = (Task, u32);
+
+/// Ends without a taker that are remembered for a later claim.
+const MAX_ENDS: usize = 256;
+
+/// Greatest error of a target's clock rate.
+const CLOCK_DRIFT: f64 = 0.02;
+
+/// Margin on the end of a lease for the way of an order.
+const LEASE_MARGIN: Duration = Duration::from_millis(50);
+
+/// Stage of a run on a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Phase {
+    /// The order to start is under way.
+    Starting,
+    /// The order got no answer; it may run, or start yet.
+    Doubtful,
+    /// It runs.
+    Running,
+    /// It runs, or may start yet, and is to be stopped.
+    Stopping,
+    /// It was found there, started by another owner.
+    Unclaimed,
+}
+
+/// Run on a target.
+#[derive(Debug)]
+pub(super) struct Run {
+    pub(super) phase: Phase,
+    /// Unknown for a run of another owner.
+    pub(super) order: Option<Order>,
+    pub(super) reply: Option<oneshot::Sender<Ending>>,
+    pub(super) front: Option<SocketAddr>,
+    pub(super) since: Instant,
+    /// Fencing token of its start.
+    pub(super) fence: u64,
+    /// Target's clock when it acknowledged the start.
+    pub(super) started_ms: Option<u64>,
+    pub(super) start_by: Instant,
+    pub(super) give_up: Instant,
+}
+
+/// Consequence of a listing for one run.
+#[derive(Debug)]
+pub(super) enum Effect {
+    /// It ended.
+    Ended(Key, Run, How),
+    /// It is over without an end that is known.
+    Gone(Key, Run),
+    /// Its start never took effect and can't any more.
+    Void(Key, Run),
+}
+
+/// Target that is owned, or about to be.
+pub(super) struct Held {
+    pub(super) target: RefCell<Target>,
+    pub(super) state: RefCell<State>,
+    /// Wakes its watch for a look without delay.
+    pub(super) urgent: Notify,
+    pub(super) released: Cell<bool>,
+}
+
+/// What is known of it.
+pub(super) struct State {
+    pub(super) fence: u64,
+    /// True while what runs there is known.
+    pub(super) known: bool,
+    clock: Option<(u64, Instant)>,
+    /// Time after which nothing can run there under the leases granted.
+    pub(super) lease_end: Instant,
+    pub(super) seen: u64,
+    newest_ms: u64,
+    born_ms: Option<u64>,
+    pub(super) runs: BTreeMap<Key, Run>,
+    ends: VecDeque<(Key, How)>,
+    pub(super) speed: Speed,
+    pub(super) trust: Trust,
+    pub(super) heard: Instant,
+}
+
+impl Held {
+    pub(super) fn new(target: Target, fence: u64) -> Held {
+        let now = clock::now();
+        Held {
+            target: RefCell::new(target),
+            state: RefCell::new(State {
+                fence,
+                known: false,
+                clock: None,
+                lease_end: now,
+                seen: 0,
+                newest_ms: 0,
+                born_ms: None,
+                runs: BTreeMap::new(),
+                ends: VecDeque::new(),
+                speed: Speed::default(),
+                trust: Trust::default(),
+                heard: now,
+            }),
+            urgent: Notify::new(),
+            released: Cell::new(false),
+        }
+    }
+
+    /// Room for new tasks, nothing while unknown runs take some of it.
+    pub(super) fn free(&self) -> Resources {
+        let state = self.state.borrow();
+        let mut free = self.target.borrow().capacity;
+        for run in state.runs.values() {
+            match &run.order {
+                Some(order) => free = free.minus(order.resources),
+                None => return Resources::default(),
+            }
+        }
+        free
+    }
+
+    /// True while tasks may be started there.
+    pub(super) fn is_open(&self, now: Instant) -> bool {
+        let state = self.state.borrow();
+        state.known
+            && !self.released.get()
+            && !self.target.borrow().draining
+            && !state.trust.is_paused(now)
+            && (state.trust.is_sound() || state.runs.is_empty())
+    }
+}
+
+impl State {
+    /// End of a lease of `length` from now, on the target's clock.
+    pub(super) fn lease(&self, length: Duration) -> Option<u64> {
+        let (clock_ms, at) = self.clock?;
+        let elapsed = clock::now() - at;
+        Some(clock_ms + millis(elapsed) + millis(length))
+    }
+
+    /// Notes that an order with a lease of `length` is about to leave.
+    pub(super) fn grant(&mut self, length: Duration) {
+        let longest = length.mul_f64(1.0 + 2.0 * CLOCK_DRIFT) + LEASE_MARGIN;
+        self.lease_end = self.lease_end.max(clock::now() + longest);
+    }
+
+    /// Notes the target's clock from an answer.
+    pub(super) fn sync(&mut self, clock_ms: u64) {
+        if self.clock.is_none_or(|it| clock_ms >= it.0) {
+            self.clock = Some((clock_ms, clock::now()));
+        }
+        self.heard = clock::now();
+    }
+
+    /// Forgets the clock, whose reading was refused.
+    pub(super) fn unsync(&mut self) {
+        self.clock = None;
+    }
+
+    /// Takes in a listing that was asked for under `fence`.
+    pub(super) fn apply(
+        &mut self,
+        listing: &Listing,
+        fence: u64,
+        claim_wait: Duration,
+    ) -> Vec<Effect> {
+        let reborn =
+            matches!((self.born_ms, listing.born_ms), (Some(old), Some(new)) if old != new);
+        let mut effects = Vec::new();
+        if reborn {
+            effects.extend(self.drop_all());
+            self.forget_life();
+        } else if listing.clock_ms < self.newest_ms || fence < self.fence {
+            return effects;
+        }
+        self.born_ms = listing.born_ms.or(self.born_ms);
+        self.newest_ms = listing.clock_ms;
+        self.sync(listing.clock_ms);
+        for end in &listing.ended {
+            if end.number <= self.seen {
+                continue;
+            }
+            self.seen = end.number;
+            let key = (end.task, end.run);
+            match self.runs.remove(&key) {
+                Some(run) => effects.push(Effect::Ended(key, run, end.how)),
+                None => {
+                    self.ends.push_back((key, end.how));
+                    if self.ends.len() > MAX_ENDS {
+                        self.ends.pop_front();
+                    }
+                }
+            }
+        }
+        let now = clock::now();
+        for row in &listing.running {
+            let key = (row.task, row.run);
+            let run = self.runs.entry(key).or_insert_with(|| Run {
+                phase: Phase::Unclaimed,
+                order: None,
+                reply: None,
+                front: None,
+                since: now,
+                fence,
+                started_ms: Some(listing.clock_ms),
+                start_by: now,
+                give_up: now + claim_wait,
+            });
+            if run.phase == Phase::Doubtful {
+                run.phase = Phase::Running;
+                run.started_ms = Some(listing.clock_ms);
+            }
+        }
+        let present = |key: &Key| listing.running.iter().any(|it| (it.task, it.run) == *key);
+        let absent: Vec<Key> = self
+            .runs
+            .keys()
+            .filter(|it| !present(it))
+            .copied()
+            .collect();
+        for key in absent {
+            let Some(run) = self.runs.get(&key) else {
+                continue;
+            };
+            let settled = run.started_ms.is_some_and(|it| listing.clock_ms > it);
+            let void = run.started_ms.is_none() && run.fence < fence;
+            let gone = match run.phase {
+                Phase::Starting => false,
+                Phase::Doubtful => void,
+                Phase::Running | Phase::Unclaimed => settled,
+                Phase::Stopping => settled || void,
+            };
+            if gone && let Some(run) = self.runs.remove(&key) {
+                effects.push(match run.phase {
+                    Phase::Doubtful => Effect::Void(key, run),
+                    _ => Effect::Gone(key, run),
+                });
+            }
+        }
+        self.known = true;
+        effects
+    }
+
+    /// Ends every run, none of which can be there any more.
+    pub(super) fn drop_all(&mut self) -> Vec<Effect> {
+        let runs = std::mem::take(&mut self.runs);
+        runs.into_iter()
+            .map(|(key, run)| Effect::Gone(key, run))
+            .collect()
+    }
+
+    /// Forgets what belonged to one life of the target.
+    pub(super) fn forget_life(&mut self) {
+        self.known = false;
+        self.clock = None;
+        self.seen = 0;
+        self.newest_ms = 0;
+        self.born_ms = None;
+        self.ends.clear();
+        self.trust = Trust::default();
+    }
+
+    /// End of `key` that nobody has asked for.
+    pub(super) fn take_end(&mut self, key: Key) -> Option<How> {
+        let at = self.ends.iter().position(|it| it.0 == key)?;
+        self.ends.remove(at).map(|it| it.1)
+    }
+}
+
+pub(super) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/fleet/src/keeper/mod.rs
@@ -0,0 +1,587 @@
+/*!
+The owner's side: targets held by this instance and the work on them.
+
+A [`Keeper`] holds targets one by one, see [`Keeper::assign`]. Each held target
+has a task that renews its lease and takes in its ends ([`watch`]); each start
+has one too ([`begin`]). Orders wait in one queue for all targets and are placed
+whenever room may have come up.
+
+A run ends in one of three ways here: the target lists its end, a listing shows
+that it is not there, or its lease has run out for certain. Until then its room
+stays taken.
+*/
+
+mod begin;
+mod held;
+mod watch;
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use bluebellpath_runtime::{Instant, LocalFuture, clock, spawn};
+use futures_channel::oneshot;
+use slog::{Logger, info};
+
+use self::held::{Held, Key, Phase, Run, millis};
+use crate::{
+    Target,
+    fence::Source,
+    orders::{How, Orders},
+    queue::{Place, Queue},
+    room::{self, Candidate},
+    work::{Ending, Load, Order, Reason},
+};
+
+/// First time for which a target that was taken over is left to its new owner.
+const FIRST_YIELD: Duration = Duration::from_millis(500);
+
+/// Longest such time.
+const MAX_YIELD: Duration = Duration::from_secs(8);
+
+/// Thousandths of a core in a core.
+const MILLICORES: u32 = 1_000;
+
+/// Timing of an owner.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// Lease of what runs on a target.
+    pub lease: Duration,
+    /// Longest wait of a look for an end; the lease is renewed as often.
+    pub poll: Duration,
+    /// Time for an answer to an order.
+    pub answer: Duration,
+    /// Time in which the front of a run that was found may claim it.
+    pub claim: Duration,
+    /// Time for which a target that is no longer listed is still held.
+    pub unlisted: Duration,
+    /// Factor on the run time away from the rack that holds the data.
+    pub far_factor: f64,
+}
+
+/// Targets that this instance owns.
+#[derive(Clone)]
+pub struct Keeper(Rc<Shared>);
+
+struct Shared {
+    config: Config,
+    orders: Rc<dyn Orders>,
+    log: Logger,
+    fences: RefCell<Source>,
+    held: RefCell<BTreeMap<Rc<str>, Rc<Held>>>,
+    queue: RefCell<Queue<Waiting>>,
+    waiting: RefCell<HashMap<Key, Place>>,
+    yielded: RefCell<BTreeMap<Rc<str>, (Instant, Duration)>>,
+    leaving: Cell<bool>,
+}
+
+struct Waiting {
+    order: Order,
+    reply: oneshot::Sender<Ending>,
+    since: Instant,
+    give_up: Instant,
+}
+
+impl Keeper {
+    /// Keeper of the instance `name` that holds nothing yet.
+    pub fn new(name: &str, config: Config, orders: Rc<dyn Orders>, log: Logger) -> Keeper {
+        Keeper(Rc::new(Shared {
+            config,
+            orders,
+            log,
+            fences: RefCell::new(Source::new(name)),
+            held: RefCell::default(),
+            queue: RefCell::default(),
+            waiting: RefCell::default(),
+            yielded: RefCell::default(),
+            leaving: Cell::new(false),
+        }))
+    }
+
+    /// Makes `targets` the ones to own, takes over those that are new among
+    /// them and lets go of others once they are fenced off by their owner.
+    pub fn assign(&self, targets: &[Target]) {
+        let now = clock::now();
+        for target in targets {
+            let held = self.0.held.borrow().get(&target.id).cloned();
+            match held {
+                Some(held) => self.0.update(&held, target),
+                None if self.0.may_take(&target.id, now) => self.0.take(target.clone()),
+                None => {}
+            }
+        }
+    }
+
+    /// Notes what the list says of targets, those of other owners included.
+    pub fn relist(&self, listed: &dyn Fn(&str) -> Option<Target>) {
+        let now = clock::now();
+        let held: Vec<_> = self.0.held.borrow().values().cloned().collect();
+        for held in held {
+            let id = held.target.borrow().id.clone();
+            match listed(&id) {
+                Some(target) => self.0.update(&held, &target),
+                None => {
+                    let silent = now - held.state.borrow().heard > self.0.config.unlisted;
+                    if silent {
+                        self.0.release(&held, "no longer listed and silent");
+                    }
+                }
+            }
+        }
+    }
+
+    /// Ids of the targets held.
+    pub fn owned(&self) -> Vec<Rc<str>> {
+        self.0.held.borrow().keys().cloned().collect()
+    }
+
+    /// True once all that is held is known.
+    pub fn is_settled(&self) -> bool {
+        let held = self.0.held.borrow();
+        held.values().all(|it| it.state.borrow().known)
+    }
+
+    /// Runs a task and waits for its end; dropping the future stops it.
+    pub fn run(&self, order: Order) -> LocalFuture<'static, Ending> {
+        let shared = self.0.clone();
+        Box::pin(async move {
+            if shared.leaving.get() {
+                return Ending::NotStarted(Reason::Leaving);
+            }
+            let key = (order.task, order.run);
+            let (reply, ending) = oneshot::channel();
+            let guard = Guard::new(&shared, key);
+            let now = clock::now();
+            let goal = Duration::from_millis(order.goal_ms.into());
+            let estimate = Duration::from_millis(order.estimate_ms.into());
+            let waiting = Waiting {
+                since: now,
+                give_up: now + Duration::from_millis(order.patience_ms.into()),
+                reply,
+                order,
+            };
+            shared.enqueue(key, now + goal.saturating_sub(estimate), waiting);
+            shared.dispatch();
+            guard.end(ending.await)
+        })
+    }
+
+    /// Takes charge of a run that another owner started; `None` at once where
+    /// it is on no target held here.
+    pub fn claim(&self, order: Order) -> LocalFuture<'static, Option<Ending>> {
+        let shared = self.0.clone();
+        Box::pin(async move {
+            let key = (order.task, order.run);
+            let (reply, ending) = oneshot::channel();
+            match shared.adopt(key, order, reply) {
+                Adopted::Ended(ending) => Some(ending),
+                Adopted::Running => {
+                    let guard = Guard::new(&shared, key);
+                    Some(guard.end(ending.await))
+                }
+                Adopted::Missing => None,
+            }
+        })
+    }
+
+    /// Stops a run, or takes it out of the queue.
+    pub fn cancel(&self, task: crate::Task, run: u32) {
+        self.0.cancel((task, run), "cancelled by its front");
+    }
+
+    /// Stops all that runs for a front that is gone.
+    pub fn abandon(&self, front: SocketAddr) {
+        let mut keys = Vec::new();
+        for held in self.0.held.borrow().values() {
+            let state = held.state.borrow();
+            let theirs = state
+                .runs
+                .iter()
+                .filter(|(_, run)| run.front == Some(front));
+            keys.extend(theirs.map(|(key, _)| *key));
+        }
+        let queue = self.0.queue.borrow();
+        let theirs = queue.iter().filter(|(_, it)| it.order.front == front);
+        keys.extend(theirs.map(|(_, it)| (it.order.task, it.order.run)));
+        drop(queue);
+        for key in keys {
+            self.0.cancel(key, "its front is gone");
+        }
+    }
+
+    /// Load to tell the other instances.
+    pub fn load(&self) -> Load {
+        let now = clock::now();
+        let mut load = Load::default();
+        for held in self.0.held.borrow().values() {
+            if !held.is_open(now) {
+                continue;
+            }
+            load.cores += held.target.borrow().capacity.cpu / MILLICORES;
+            let free = held.free().cpu / MILLICORES;
+            load.holes.push(u16::try_from(free).unwrap_or(u16::MAX));
+        }
+        let queue = self.0.queue.borrow();
+        load.waiting = queue.iter().map(|(_, it)| core_ms(&it.order)).sum();
+        load
+    }
+
+    /// Tasks that run or wait here.
+    pub fn tasks(&self) -> (usize, usize) {
+        let held = self.0.held.borrow();
+        let running = held.values().map(|it| it.state.borrow().runs.len()).sum();
+        (running, self.0.queue.borrow().len())
+    }
+
+    /// Gives up all targets for a planned stop; what runs goes on there under
+    /// the next owners.
+    pub fn leave(&self) {
+        self.0.leaving.set(true);
+        let queue = std::mem::take(&mut *self.0.queue.borrow_mut());
+        self.0.waiting.borrow_mut().clear();
+        let places: Vec<Place> = queue.iter().map(|it| it.0).collect();
+        let mut queue = queue;
+        for place in places {
+            if let Some(waiting) = queue.remove(place) {
+                let _ = waiting.reply.send(Ending::NotStarted(Reason::Leaving));
+            }
+        }
+        let held: Vec<_> = self.0.held.borrow().values().cloned().collect();
+        for held in held {
+            self.0.release(&held, "this instance is leaving");
+        }
+    }
+
+    /// Gives up waiting work whose time has passed and runs that nobody
+    /// claimed; to be called several times a second.
+    pub fn tick(&self) {
+        let now = clock::now();
+        let expired: Vec<Place> = {
+            let queue = self.0.queue.borrow();
+            let late = queue.iter().filter(|(_, it)| now >= it.give_up);
+            late.map(|it| it.0).collect()
+        };
+        for place in expired {
+            let waiting = self.0.queue.borrow_mut().remove(place);
+            if let Some(waiting) = waiting {
+                let key = (waiting.order.task, waiting.order.run);
+                self.0.waiting.borrow_mut().remove(&key);
+                info!(self.0.log, "task gave up waiting"; "task" => %key.0, "run" => key.1,
+                    "waited_ms" => millis(now - waiting.since));
+                let _ = waiting.reply.send(Ending::NotStarted(Reason::Busy));
+            }
+        }
+        let held: Vec<_> = self.0.held.borrow().values().cloned().collect();
+        for held in held {
+            let state = held.state.borrow();
+            let unclaimed = |run: &Run| run.phase == Phase::Unclaimed && now >= run.give_up;
+            let stray = state.runs.iter().filter(|(_, run)| unclaimed(run));
+            let stray: Vec<Key> = stray.map(|(key, _)| *key).collect();
+            drop(state);
+            for key in stray {
+                self.0.cancel(key, "nobody claimed it");
+            }
+        }
+        self.0.dispatch();
+    }
+}
+
+enum Adopted {
+    Ended(Ending),
+    Running,
+    Missing,
+}
+
+impl Shared {
+    fn update(&self, held: &Rc<Held>, target: &Target) {
+        let mut known = held.target.borrow_mut();
+        if target.draining && !known.draining {
+            info!(self.log, "target is draining"; "target" => %target.id);
+        }
+        let draining = known.draining && known.born_ms == target.born_ms;
+        *known = target.clone();
+        known.draining |= draining;
+    }
+
+    fn may_take(&self, id: &str, now: Instant) -> bool {
+        let yielded = self.yielded.borrow();
+        !self.leaving.get() && yielded.get(id).is_none_or(|it| now >= it.0)
+    }
+
+    fn take(self: &Rc<Self>, target: Target) {
+        let fence = self.fences.borrow_mut().next(clock::wall());
+        info!(self.log, "taking over target"; "target" => %target.id, "fence" => fence,
+            "domain" => %target.domain);
+        let id = target.id.clone();
+        let held = Rc::new(Held::new(target, fence));
+        self.held.borrow_mut().insert(id, held.clone());
+        drop(spawn(watch::run(self.clone(), held)));
+    }
+
+    /// Lets a target go; its runs belong to the next owner.
+    fn release(&self, held: &Rc<Held>, cause: &str) {
+        if held.released.replace(true) {
+            return;
+        }
+        let id = held.target.borrow().id.clone();
+        self.held.borrow_mut().remove(&id);
+        held.urgent.notify();
+        let runs = std::mem::take(&mut held.state.borrow_mut().runs);
+        info!(self.log, "released target"; "target" => %id, "cause" => cause, "runs" => runs.len());
+        for (_, run) in runs {
+            if let Some(reply) = run.reply {
+                let _ = reply.send(Ending::Moved { target: id.clone() });
+            }
+        }
+    }
+
+    /// Lets a target go that another owner holds now, and leaves it alone for
+    /// longer each time.
+    fn yield_to_other(&self, held: &Rc<Held>) {
+        let id = held.target.borrow().id.clone();
+        let mut yielded = self.yielded.borrow_mut();
+        let last = yielded.get(&id).map(|it| it.1);
+        let pause = last.map_or(FIRST_YIELD, |it| (it * 2).min(MAX_YIELD));
+        yielded.insert(id, (clock::now() + pause, pause));
+        drop(yielded);
+        self.release(held, "another owner holds it");
+    }
+
+    fn enqueue(&self, key: Key, start_by: Instant, waiting: Waiting) {
+        let priority = waiting.order.priority;
+        let place = self.queue.borrow_mut().push(priority, start_by, waiting);
+        self.waiting.borrow_mut().insert(key, place);
+    }
+
+    /// Puts a run back whose start certainly had no effect.
+    fn requeue(&self, key: Key, run: Run) {
+        let (Some(order), Some(reply)) = (run.order, run.reply) else {
+            return;
+        };
+        if run.phase == Phase::Stopping || reply.is_canceled() {
+            return;
+        }
+        let waiting = Waiting {
+            order,
+            reply,
+            since: run.since,
+            give_up: run.give_up,
+        };
+        self.enqueue(key, run.start_by, waiting);
+    }
+
+    /// Starts whatever fits, in the order of the queue.
+    fn dispatch(self: &Rc<Self>) {
+        loop {
+            let Some((place, held)) = self.next() else {
+                return;
+            };
+            let Some(waiting) = self.queue.borrow_mut().remove(place) else {
+                return;
+            };
+            let key = (waiting.order.task, waiting.order.run);
+            self.waiting.borrow_mut().remove(&key);
+            begin::spawn(self, &held, place, waiting);
+        }
+    }
+
+    fn next(&self) -> Option<(Place, Rc<Held>)> {
+        let queue = self.queue.borrow();
+        if queue.is_empty() {
+            return None;
+        }
+        let now = clock::now();
+        let held = self.held.borrow();
+        let open: Vec<_> = held.values().filter(|it| it.is_open(now)).collect();
+        let rooms: Vec<_> = open.iter().map(|it| it.free()).collect();
+        queue.first().find_map(|(place, waiting)| {
+            let order = &waiting.order;
+            let goal = place.start_by - now + Duration::from_millis(order.estimate_ms.into());
+            let suitable = open.iter().enumerate().filter(|(_, it)| suits(it, order));
+            let candidates = suitable.map(|(index, it)| {
+                let state = it.state.borrow();
+                let candidate = Candidate {
+                    free: rooms[index],
+                    expected: self.expect(&it.target.borrow(), &state, order),
+                    trusted: state.trust.is_sound(),
+                };
+                (index, candidate)
+            });
+            let chosen = room::choose(order.resources, goal, candidates)?;
+            Some((place, open[chosen].clone()))
+        })
+    }
+
+    fn expect(&self, target: &Target, state: &held::State, order: &Order) -> Duration {
+        let declared = Duration::from_millis(order.estimate_ms.into());
+        let expected = state.speed.expect(declared);
+        match &order.affinity {
+            Some(rack) if !target.has(rack) => expected.mul_f64(self.config.far_factor),
+            _ => expected,
+        }
+    }
+
+    fn adopt(&self, key: Key, order: Order, reply: oneshot::Sender<Ending>) -> Adopted {
+        let now = clock::now();
+        for held in self.held.borrow().values() {
+            let mut state = held.state.borrow_mut();
+            if let Some(how) = state.take_end(key) {
+                return Adopted::Ended(ending(how));
+            }
+            let Some(run) = state.runs.get_mut(&key) else {
+                continue;
+            };
+            if run.phase == Phase::Stopping {
+                continue;
+            }
+            if run.phase == Phase::Unclaimed {
+                run.phase = Phase::Running;
+            }
+            run.front = Some(order.front);
+            run.reply = Some(reply);
+            run.give_up = now + Duration::from_millis(order.patience_ms.into());
+            run.order.get_or_insert(order);
+            info!(self.log, "adopted run"; "task" => %key.0, "run" => key.1,
+                "target" => %held.target.borrow().id);
+            return Adopted::Running;
+        }
+        Adopted::Missing
+    }
+
+    fn cancel(self: &Rc<Self>, key: Key, cause: &'static str) {
+        let place = self.waiting.borrow_mut().remove(&key);
+        if let Some(place) = place {
+            let waiting = self.queue.borrow_mut().remove(place);
+            if let Some(waiting) = waiting {
+                // Whoever waited may be gone already.
+                let _ = waiting.reply.send(Ending::NotStarted(Reason::Cancelled));
+            }
+            return;
+        }
+        let held: Vec<_> = self.held.borrow().values().cloned().collect();
+        for held in held {
+            let mut state = held.state.borrow_mut();
+            let Some(run) = state.runs.get_mut(&key) else {
+                continue;
+            };
+            if run.phase == Phase::Stopping {
+                return;
+            }
+            let starting = run.phase == Phase::Starting;
+            run.phase = Phase::Stopping;
+            drop(state);
+            info!(self.log, "stopping run"; "task" => %key.0, "run" => key.1,
+                "target" => %held.target.borrow().id, "cause" => cause);
+            // A start under way is stopped when it is answered.
+            if !starting {
+                drop(spawn(begin::stop(self.clone(), held.clone(), key)));
+            }
+            return;
+        }
+    }
+
+    /// Carries out what a listing showed.
+    fn settle(self: &Rc<Self>, held: &Rc<Held>, effects: Vec<held::Effect>) {
+        for effect in effects {
+            match effect {
+                held::Effect::Ended(key, run, how) => self.ended(held, key, run, how),
+                held::Effect::Gone(key, run) => {
+                    info!(self.log, "run is gone"; "task" => %key.0, "run" => key.1,
+                        "target" => %held.target.borrow().id);
+                    if let Some(reply) = run.reply {
+                        let _ = reply.send(Ending::Lost);
+                    }
+                }
+                held::Effect::Void(key, run) => self.requeue(key, run),
+            }
+        }
+        self.dispatch();
+    }
+
+    fn ended(&self, held: &Rc<Held>, key: Key, run: Run, how: How) {
+        let mut state = held.state.borrow_mut();
+        let took = clock::now() - run.since;
+        match how {
+            How::Done => {
+                state.trust.succeed();
+                if let Some(order) = &run.order {
+                    let declared = Duration::from_millis(order.estimate_ms.into());
+                    state.speed.observe(declared, took);
+                }
+            }
+            How::Failed => state.trust.fail(clock::now()),
+            How::CutShort => {}
+        }
+        if how != How::Done {
+            info!(self.log, "run ended badly"; "task" => %key.0, "run" => key.1, "how" => %how,
+                "target" => %held.target.borrow().id, "took_ms" => millis(took));
+        }
+        if let Some(reply) = run.reply {
+            let _ = reply.send(ending(how));
+        }
+    }
+}
+
+fn suits(held: &Held, order: &Order) -> bool {
+    let target = held.target.borrow();
+    if target.service != order.service {
+        return false;
+    }
+    if order.constraint.as_ref().is_some_and(|it| !target.has(it)) {
+        return false;
+    }
+    if order.spread == 0 {
+        return true;
+    }
+    let state = held.state.borrow();
+    let same = |key: &&Key| {
+        let (task, asked) = (key.0, order.task);
+        (task.job, task.occurrence, task.step) == (asked.job, asked.occurrence, asked.step)
+    };
+    state.runs.keys().filter(same).count() < usize::from(order.spread)
+}
+
+fn ending(how: How) -> Ending {
+    match how {
+        How::Done => Ending::Done,
+        How::Failed => Ending::Failed,
+        How::CutShort => Ending::Lost,
+    }
+}
+
+fn core_ms(order: &Order) -> u64 {
+    u64::from(order.resources.cpu) * u64::from(order.estimate_ms) / u64::from(MILLICORES)
+}
+
+/// Stops a run whose waiter goes away first.
+struct Guard {
+    shared: Rc<Shared>,
+    key: Option<Key>,
+}
+
+impl Guard {
+    fn new(shared: &Rc<Shared>, key: Key) -> Guard {
+        Guard {
+            shared: shared.clone(),
+            key: Some(key),
+        }
+    }
+
+    fn end(mut self, ending: Result<Ending, oneshot::Canceled>) -> Ending {
+        self.key = None;
+        // The sender is dropped only with a run that was stopped.
+        ending.unwrap_or(Ending::Lost)
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if let Some(key) = self.key {
+            self.shared.cancel(key, "nobody waits for it");
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/keeper/watch.rs
@@ -0,0 +1,128 @@
+/*!
+The look at one held target, again and again.
+
+One long poll renews the lease, reports ends at once and shows who else is
+there. A start in doubt cuts the poll short: the next look carries a higher
+fencing token, after which the start is either listed or can never happen.
+*/
+
+use std::rc::Rc;
+
+use bluebellpath_runtime::clock;
+use futures_util::future::{Either, select};
+use slog::{info, warn};
+
+use super::{
+    Shared,
+    held::{Held, Phase, millis},
+};
+use crate::orders::{Fault, Hold};
+
+/// Pause after a look that failed.
+const RETRY_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
+
+/// Times that a target is taken over with a climbing token before it is left
+/// to its owner.
+const MAX_CLIMBS: u32 = 8;
+
+pub(super) async fn run(shared: Rc<Shared>, held: Rc<Held>) {
+    let mut climbs = 0;
+    let mut lost = false;
+    while !held.released.get() {
+        let hold = prepare(&shared, &held);
+        let target = held.target.borrow().clone();
+        let looking = shared.orders.hold(&target, hold);
+        let answer = match select(looking, std::pin::pin!(held.urgent.notified())).await {
+            Either::Left((answer, _)) => answer,
+            Either::Right(_) => continue,
+        };
+        if held.released.get() {
+            return;
+        }
+        match answer {
+            Ok(listing) => {
+                if std::mem::take(&mut lost) {
+                    info!(shared.log, "target answers again"; "target" => %target.id);
+                }
+                shared.fences.borrow_mut().accepted();
+                climbs = 0;
+                let mut state = held.state.borrow_mut();
+                let first = !state.known;
+                let effects = state.apply(&listing, hold.fence, shared.config.claim);
+                if first && state.known {
+                    info!(shared.log, "target is held"; "target" => %target.id,
+                        "fence" => hold.fence, "runs_found" => state.runs.len());
+                }
+                drop(state);
+                shared.settle(&held, effects);
+            }
+            Err(Fault::Fenced) => {
+                let state = held.state.borrow();
+                let (current, settled) = (state.fence == hold.fence, state.known);
+                drop(state);
+                if !current {
+                    continue;
+                }
+                if settled || climbs >= MAX_CLIMBS {
+                    shared.yield_to_other(&held);
+                    return;
+                }
+                // The first look: clocks disagree with the last owner's.
+                climbs += 1;
+                shared.fences.borrow_mut().climb();
+                held.state.borrow_mut().fence = shared.fences.borrow_mut().next(clock::wall());
+            }
+            Err(fault) => {
+                if !std::mem::replace(&mut lost, true) {
+                    warn!(shared.log, "target does not answer"; "target" => %target.id,
+                        "fault" => %fault);
+                }
+                silent(&shared, &held);
+                clock::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Next look, under a higher token where a start is in doubt.
+fn prepare(shared: &Rc<Shared>, held: &Rc<Held>) -> Hold {
+    let mut state = held.state.borrow_mut();
+    let fence = state.fence;
+    let doubtful = state.runs.values().any(|it| {
+        let open = matches!(it.phase, Phase::Doubtful | Phase::Stopping);
+        open && it.started_ms.is_none() && it.fence >= fence
+    });
+    if doubtful {
+        state.fence = shared.fences.borrow_mut().next(clock::wall());
+    }
+    let until_ms = state.lease(shared.config.lease);
+    if until_ms.is_some() {
+        state.grant(shared.config.lease);
+    }
+    let wait = state.known && until_ms.is_some() && !doubtful;
+    Hold {
+        fence: state.fence,
+        until_ms,
+        seen_upto: state.seen,
+        wait_ms: if wait { millis(shared.config.poll) } else { 0 },
+    }
+}
+
+/// Notes that a look got no answer; once the lease is over nothing runs there.
+fn silent(shared: &Rc<Shared>, held: &Rc<Held>) {
+    let mut state = held.state.borrow_mut();
+    state.known = false;
+    if state.runs.is_empty() || clock::now() < state.lease_end {
+        return;
+    }
+    // A start that is still under way answers for itself.
+    let starting = state.runs.values().any(|it| it.phase == Phase::Starting);
+    if starting {
+        return;
+    }
+    // Orders that were delayed on the way must not take effect any more.
+    state.fence = shared.fences.borrow_mut().next(clock::wall());
+    let effects = state.drop_all();
+    drop(state);
+    shared.settle(held, effects);
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,45 @@
+/*!
+Targets with capacity: who owns them, and how tasks wait, are placed and are
+refused.
+
+Targets of this kind do not guard their room, so each has one owner among the
+entry instances. The owner holds the target with a fencing token, renews the
+lease of what runs there and is the only one to start tasks on it. The instance
+that took a job from its caller, its front, splits it into tasks and hands each
+to an owner.
+
+* [`ownership`], [`fence`]: who should own a target, and what shows it there.
+* [`orders`]: what a target is told, and what it answers.
+* [`keeper`]: the owner's side, from a waiting task to its end.
+* [`front`]: the caller's side, from a job to its answer.
+* [`node`]: one instance, put together from these.
+* [`config`]: the queues in force.
+* [`member`]: the other instances, their load and whether they live.
+* [`handover`], [`queue`], [`room`], [`admission`], [`speed`], [`trust`]: decisions without I/O.
+
+Nothing here does I/O of its own: targets are met behind [`orders::Orders`] and
+instances behind [`member::Peers`].
+*/
+
+pub mod admission;
+pub mod config;
+pub mod fence;
+pub mod handover;
+pub mod front;
+pub mod keeper;
+pub mod member;
+pub mod node;
+pub mod orders;
+pub mod ownership;
+pub mod queue;
+mod resource;
+pub mod room;
+pub mod speed;
+pub mod trust;
+mod target;
+mod task;
+pub mod work;
+
+pub use resource::Resources;
+pub use target::Target;
+pub use task::{Job, Malformed, Task};
--- /dev/null
+++ b/crates/fleet/src/member.rs
@@ -0,0 +1,243 @@
+/*!
+The other entry instances: who lives, and how loaded each is.
+
+Every instance sends a [`Beacon`] to each peer several times a second. A peer
+that has been silent for [`Config::silence`] counts as gone: others take over
+its targets, and owners stop what they run for it. Work travels in requests over
+connections, see [`Request`].
+*/
+
+use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+
+use bluebellpath_runtime::{Instant, LocalFuture, clock};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    Task,
+    ownership::{self, Candidate},
+    work::{Ending, Load, Order},
+};
+
+/// What one instance tells the others.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Beacon {
+    /// Name.
+    pub name: Rc<str>,
+    /// Start of its process in wall time, which tells its lives apart.
+    pub incarnation: u64,
+    /// Rising number within the incarnation.
+    pub sequence: u64,
+    /// Failure domain.
+    pub domain: Rc<str>,
+    /// Address for datagrams and connections.
+    pub address: SocketAddr,
+    /// Share of the work that it can carry.
+    pub strength: u32,
+    /// True once it gives up its targets.
+    pub leaving: bool,
+    /// Load of its targets.
+    pub load: Load,
+    /// Configuration version that it knows.
+    pub config: u64,
+}
+
+/// Request to another instance.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Request {
+    /// Run a task on a target of the receiver; the reply comes with its end.
+    Run(Order),
+    /// Take charge of a run that another owner started; the reply comes with
+    /// its end, or at once if it is not on any target of the receiver.
+    Claim(Order),
+    /// Stop a run for which the sender has no use any more.
+    Cancel {
+        /// Task.
+        task: Task,
+        /// Run.
+        run: u32,
+    },
+    /// Send the configuration document after this version.
+    Config {
+        /// Newest version that the sender knows.
+        after: u64,
+    },
+}
+
+/// Reply to a [`Request`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Reply {
+    /// End of the run, and the load of its owner now.
+    Ended(Ending, Load),
+    /// No such run here.
+    Missing,
+    /// Done.
+    Accepted,
+    /// Configuration document, as the operator wrote it.
+    Config(Option<String>),
+}
+
+/// Failed request to another instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// It certainly did not get the request.
+    NotSent,
+    /// It may have acted on it.
+    Unknown,
+}
+
+/// Way to the other instances.
+pub trait Peers {
+    /// Sends a beacon, which may get lost.
+    fn beacon(&self, to: SocketAddr, beacon: &Beacon);
+
+    /// Makes a request and waits for its reply.
+    fn call(&self, to: SocketAddr, request: Request) -> LocalFuture<'static, Result<Reply, Fault>>;
+}
+
+/// Timing of membership.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// Time between two beacons to a peer.
+    pub interval: Duration,
+    /// Silence after which a peer counts as gone.
+    pub silence: Duration,
+}
+
+/// Peer as last heard.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// Its last beacon.
+    pub beacon: Beacon,
+    /// When it came.
+    pub heard: Instant,
+    /// False once it counted as gone.
+    alive: bool,
+}
+
+/// Change of who lives.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A peer is heard that was not before, or again.
+    Joined(Rc<str>),
+    /// A peer has fallen silent, or a new life of it was heard.
+    Gone(Rc<str>, SocketAddr),
+    /// A peer gives up its targets, or takes them again.
+    Leaving(Rc<str>),
+}
+
+/// All peers of one instance.
+pub struct Roster {
+    config: Config,
+    name: Rc<str>,
+    addresses: RefCell<BTreeMap<SocketAddr, Instant>>,
+    peers: RefCell<BTreeMap<Rc<str>, Peer>>,
+}
+
+impl Roster {
+    /// Roster of the instance `name` without peers.
+    pub fn new(name: Rc<str>, config: Config) -> Roster {
+        Roster {
+            config,
+            name,
+            addresses: RefCell::default(),
+            peers: RefCell::default(),
+        }
+    }
+
+    /// Learns an address to which beacons go.
+    pub fn learn(&self, address: SocketAddr) {
+        let mut addresses = self.addresses.borrow_mut();
+        addresses.entry(address).or_insert_with(clock::now);
+    }
+
+    /// Addresses to which beacons go.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.addresses.borrow().keys().copied().collect()
+    }
+
+    /// Takes a beacon in; says what it changes.
+    pub fn hear(&self, beacon: Beacon) -> Vec<Change> {
+        if beacon.name == self.name {
+            return Vec::new();
+        }
+        self.learn(beacon.address);
+        let mut peers = self.peers.borrow_mut();
+        let name = beacon.name.clone();
+        let mut changes = Vec::new();
+        let known = peers.get(&name);
+        let newer = |it: &Peer| {
+            (beacon.incarnation, beacon.sequence) > (it.beacon.incarnation, it.beacon.sequence)
+        };
+        match known {
+            // A new life whose clock is behind is heard once the old one is gone.
+            Some(it) if !newer(it) && (it.alive || it.beacon.incarnation == beacon.incarnation) => {
+                return changes;
+            }
+            Some(it) if it.alive && it.beacon.incarnation != beacon.incarnation => {
+                changes.push(Change::Gone(name.clone(), it.beacon.address));
+                changes.push(Change::Joined(name.clone()));
+            }
+            Some(it) if !it.alive => changes.push(Change::Joined(name.clone())),
+            Some(it) if it.beacon.leaving != beacon.leaving => {
+                changes.push(Change::Leaving(name.clone()));
+            }
+            Some(_) => {}
+            None => changes.push(Change::Joined(name.clone())),
+        }
+        let peer = Peer {
+            beacon,
+            heard: clock::now(),
+            alive: true,
+        };
+        peers.insert(name, peer);
+        changes
+    }
+
+    /// Notices peers that have fallen silent.
+    pub fn sweep(&self) -> Vec<Change> {
+        let now = clock::now();
+        let mut changes = Vec::new();
+        for (name, peer) in self.peers.borrow_mut().iter_mut() {
+            if peer.alive && now - peer.heard > self.config.silence {
+                peer.alive = false;
+                changes.push(Change::Gone(name.clone(), peer.beacon.address));
+            }
+        }
+        changes
+    }
+
+    /// Peers that live.
+    pub fn alive(&self) -> Vec<Beacon> {
+        let peers = self.peers.borrow();
+        let alive = peers.values().filter(|it| it.alive);
+        alive.map(|it| it.beacon.clone()).collect()
+    }
+
+    /// Notes the load that a reply of `address` told.
+    pub fn note_load(&self, address: SocketAddr, load: Load) {
+        let mut peers = self.peers.borrow_mut();
+        let peer = peers.values_mut().find(|it| it.beacon.address == address);
+        if let Some(peer) = peer {
+            peer.beacon.load = load;
+        }
+    }
+
+    /// Instance that should own the target `id` in `domain`, as `own` sees it.
+    pub fn owner(
+        &self,
+        id: &str,
+        domain: &str,
+        own: Candidate<'_>,
+        leaving: bool,
+    ) -> Option<Rc<str>> {
+        let peers = self.peers.borrow();
+        let others = peers.values().filter(|it| it.alive && !it.beacon.leaving);
+        let others = others.map(|it| Candidate {
+            name: &it.beacon.name,
+            domain: &it.beacon.domain,
+            strength: it.beacon.strength,
+        });
+        let own = (!leaving).then_some(own);
+        ownership::choose(id, domain, others.chain(own)).map(Rc::from)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/node.rs
@@ -0,0 +1,323 @@
+/*!
+One entry instance: its targets, its peers and the configuration in force.
+
+A [`Node`] is driven from outside by what is read from the platform, by
+datagrams and requests of peers, and by callers. It takes over the targets that
+it should own whenever the list or the peers change.
+*/
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use bluebellpath_runtime::{LocalFuture, clock, spawn};
+use slog::{Logger, info, warn};
+
+use crate::{
+    Target,
+    config::Config as Queues,
+    front::{self, Front},
+    keeper::{self, Keeper},
+    member::{self, Beacon, Change, Peers, Reply, Request, Roster},
+    orders::Orders,
+    ownership::Candidate,
+};
+
+/// Time between two passes over waiting work and silent peers.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Beacons to one's own failure domain for one to another.
+const FAR_BEACONS: u64 = 2;
+
+/// Reads a configuration document.
+pub type Decode = fn(&str) -> Result<Queues, String>;
+
+/// Settings of an instance.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Name.
+    pub name: Rc<str>,
+    /// Failure domain.
+    pub domain: Rc<str>,
+    /// Address at which peers reach it.
+    pub address: SocketAddr,
+    /// Share of the work that it can carry, relative to its peers.
+    pub strength: u32,
+    /// Timing of its targets.
+    pub keeper: keeper::Config,
+    /// Timing of membership.
+    pub member: member::Config,
+    /// Time after which a run that nobody has found is over.
+    pub orphan: Duration,
+}
+
+/// One entry instance.
+pub struct Node {
+    config: Config,
+    incarnation: u64,
+    keeper: Keeper,
+    front: Front,
+    roster: Rc<Roster>,
+    peers: Rc<dyn Peers>,
+    decode: Decode,
+    log: Logger,
+    targets: RefCell<BTreeMap<Rc<str>, Target>>,
+    queues: RefCell<Rc<Queues>>,
+    asked_config: Cell<u64>,
+    sequence: Cell<u64>,
+    leaving: Cell<bool>,
+    listed: Cell<bool>,
+}
+
+impl Node {
+    /// Instance that knows nothing yet.
+    pub fn new(
+        config: Config,
+        orders: Rc<dyn Orders>,
+        peers: Rc<dyn Peers>,
+        decode: Decode,
+        log: Logger,
+    ) -> Rc<Node> {
+        let keeper = Keeper::new(&config.name, config.keeper, orders, log.clone());
+        let roster = Rc::new(Roster::new(config.name.clone(), config.member));
+        let front = Front::new(
+            front::Config {
+                name: config.name.clone(),
+                domain: config.domain.clone(),
+                address: config.address,
+                orphan: config.orphan,
+            },
+            keeper.clone(),
+            roster.clone(),
+            peers.clone(),
+            log.clone(),
+        );
+        Rc::new(Node {
+            config,
+            incarnation: clock::wall(),
+            keeper,
+            front,
+            roster,
+            peers,
+            decode,
+            log,
+            targets: RefCell::default(),
+            queues: RefCell::default(),
+            asked_config: Cell::new(0),
+            sequence: Cell::new(0),
+            leaving: Cell::new(false),
+            listed: Cell::new(false),
+        })
+    }
+
+    /// Takes jobs.
+    pub fn front(&self) -> &Front {
+        &self.front
+    }
+
+    /// Targets held.
+    pub fn keeper(&self) -> &Keeper {
+        &self.keeper
+    }
+
+    /// Other instances.
+    pub fn roster(&self) -> &Roster {
+        &self.roster
+    }
+
+    /// Configuration in force; version 0 before there is one.
+    pub fn queues(&self) -> Rc<Queues> {
+        self.queues.borrow().clone()
+    }
+
+    /// Wall time of the start of this instance, in milliseconds.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// True once callers can be served.
+    pub fn is_ready(&self) -> bool {
+        self.queues.borrow().version > 0
+            && self.listed.get()
+            && !self.leaving.get()
+            && self.keeper.is_settled()
+    }
+
+    /// Sends beacons and passes over waiting work until the process ends.
+    pub fn start(self: &Rc<Self>) {
+        let node = self.clone();
+        drop(spawn(async move {
+            loop {
+                node.send_beacons();
+                clock::sleep(node.config.member.interval).await;
+            }
+        }));
+        let node = self.clone();
+        drop(spawn(async move {
+            loop {
+                clock::sleep(TICK).await;
+                let changes = node.roster.sweep();
+                node.note(changes);
+                node.keeper.tick();
+            }
+        }));
+    }
+
+    /// Takes in the list of targets.
+    pub fn set_targets(&self, targets: BTreeMap<Rc<str>, Target>) {
+        *self.targets.borrow_mut() = targets;
+        self.listed.set(true);
+        self.reassign();
+    }
+
+    /// Takes in a configuration document; an older version than the one in
+    /// force changes nothing.
+    pub fn offer(&self, document: &str, source: &str) {
+        let queues = match (self.decode)(document) {
+            Ok(queues) => queues,
+            Err(error) => {
+                warn!(self.log, "configuration can't be read"; "source" => source,
+                    "error" => error);
+                return;
+            }
+        };
+        let before = self.queues.borrow().version;
+        if queues.version <= before {
+            return;
+        }
+        info!(self.log, "configuration in force"; "version" => queues.version,
+            "before" => before, "source" => source, "queues" => queues.queues.len());
+        *self.queues.borrow_mut() = Rc::new(queues);
+        self.send_beacons();
+    }
+
+    /// Takes in a beacon of a peer.
+    pub fn hear(self: &Rc<Self>, beacon: Beacon) {
+        let newer = beacon.config > self.queues.borrow().version;
+        if newer && self.asked_config.get() < beacon.config {
+            self.asked_config.set(beacon.config);
+            self.fetch_config(beacon.address);
+        }
+        let changes = self.roster.hear(beacon);
+        if changes.iter().any(|it| matches!(it, Change::Joined(_))) {
+            self.send_beacons();
+        }
+        self.note(changes);
+    }
+
+    /// Serves a request of a peer.
+    pub fn handle(&self, request: Request) -> LocalFuture<'static, Reply> {
+        let keeper = self.keeper.clone();
+        match request {
+            Request::Run(order) => Box::pin(async move {
+                let ending = keeper.run(order).await;
+                Reply::Ended(ending, keeper.load())
+            }),
+            Request::Claim(order) => Box::pin(async move {
+                match keeper.claim(order).await {
+                    Some(ending) => Reply::Ended(ending, keeper.load()),
+                    None => Reply::Missing,
+                }
+            }),
+            Request::Cancel { task, run } => {
+                keeper.cancel(task, run);
+                Box::pin(async { Reply::Accepted })
+            }
+            Request::Config { after } => {
+                let queues = self.queues();
+                let document = (queues.version > after).then(|| queues.document.to_string());
+                Box::pin(async move { Reply::Config(document) })
+            }
+        }
+    }
+
+    /// Gives up all targets for a planned stop and goes on for its callers.
+    pub fn leave(&self) {
+        if self.leaving.replace(true) {
+            return;
+        }
+        // Peers take the targets over before anything there can lapse.
+        self.send_beacons();
+        self.keeper.leave();
+    }
+
+    fn fetch_config(self: &Rc<Self>, peer: SocketAddr) {
+        let after = self.queues.borrow().version;
+        let call = self.peers.call(peer, Request::Config { after });
+        let node = self.clone();
+        drop(spawn(async move {
+            match call.await {
+                Ok(Reply::Config(Some(document))) => node.offer(&document, "peer"),
+                _ => node.asked_config.set(0),
+            }
+        }));
+    }
+
+    fn note(&self, changes: Vec<Change>) {
+        if changes.is_empty() {
+            return;
+        }
+        for change in changes {
+            match change {
+                Change::Joined(name) => info!(self.log, "peer joined"; "peer" => %name),
+                Change::Leaving(name) => {
+                    info!(self.log, "peer is leaving or back"; "peer" => %name)
+                }
+                Change::Gone(name, address) => {
+                    warn!(self.log, "peer is gone"; "peer" => %name);
+                    self.keeper.abandon(address);
+                }
+            }
+        }
+        self.reassign();
+    }
+
+    /// Takes over what this instance should own.
+    fn reassign(&self) {
+        let own = Candidate {
+            name: &self.config.name,
+            domain: &self.config.domain,
+            strength: self.config.strength,
+        };
+        let targets = self.targets.borrow();
+        let leaving = self.leaving.get();
+        let mine = targets.values().filter(|it| {
+            let owner = self.roster.owner(&it.id, &it.domain, own, leaving);
+            owner.as_deref() == Some(&*self.config.name)
+        });
+        let mine: Vec<Target> = mine.cloned().collect();
+        self.keeper.assign(&mine);
+        self.keeper.relist(&|id| targets.get(id).cloned());
+    }
+
+    fn send_beacons(&self) {
+        let sequence = self.sequence.get() + 1;
+        self.sequence.set(sequence);
+        let beacon = Beacon {
+            name: self.config.name.clone(),
+            incarnation: self.incarnation,
+            sequence,
+            domain: self.config.domain.clone(),
+            address: self.config.address,
+            strength: self.config.strength,
+            leaving: self.leaving.get(),
+            load: self.keeper.load(),
+            config: self.queues.borrow().version,
+        };
+        let far: Vec<SocketAddr> = {
+            let alive = self.roster.alive();
+            let far = alive.iter().filter(|it| it.domain != self.config.domain);
+            far.map(|it| it.address).collect()
+        };
+        for address in self.roster.addresses() {
+            let due = sequence % FAR_BEACONS == 0 || !far.contains(&address);
+            if address != self.config.address && due {
+                self.peers.beacon(address, &beacon);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/orders.rs
@@ -0,0 +1,142 @@
+/*!
+Orders to targets.
+
+A target does what the highest fencing token that it has seen tells it, and
+nothing else; that is what makes it the lock over its own room. An order that
+got no answer may still be carried out seconds later, until a higher token has
+reached the target.
+*/
+
+use bluebellpath_runtime::LocalFuture;
+use derive_more::{Display, Error};
+
+use crate::{Target, Task};
+
+/// Start of one run of a task.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// Task.
+    pub task: Task,
+    /// Number of the run.
+    pub run: u32,
+    /// What to run.
+    pub spec: std::rc::Rc<str>,
+    /// End of the lease on the target's clock, in milliseconds.
+    pub until_ms: u64,
+    /// Fencing token.
+    pub fence: u64,
+}
+
+/// Look at a target, which renews the lease of all that runs there.
+#[derive(Clone, Copy, Debug)]
+pub struct Hold {
+    /// Fencing token.
+    pub fence: u64,
+    /// New end of the lease on the target's clock, in milliseconds.
+    pub until_ms: Option<u64>,
+    /// Last end that has been dealt with; the target forgets up to it.
+    pub seen_upto: u64,
+    /// Longest wait for an end, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum How {
+    /// It did its work.
+    #[display("done")]
+    Done,
+    /// It failed, through its own fault or the target's.
+    #[display("failed")]
+    Failed,
+    /// It was stopped, or its lease lapsed, or a companion ended.
+    #[display("cut short")]
+    CutShort,
+}
+
+/// Run that is present on a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Running {
+    /// Task.
+    pub task: Task,
+    /// Run.
+    pub run: u32,
+    /// Share of the work that is done, in percent.
+    pub percent: u8,
+}
+
+/// Run that ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ended {
+    /// Number of the end, rising during the target's life.
+    pub number: u64,
+    /// Task.
+    pub task: Task,
+    /// Run.
+    pub run: u32,
+    /// How it ended.
+    pub how: How,
+}
+
+/// What a target says of itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Listing {
+    /// Clock of the target, in milliseconds.
+    pub clock_ms: u64,
+    /// Start of this life of the target, where it says so.
+    pub born_ms: Option<u64>,
+    /// Runs that are present.
+    pub running: Vec<Running>,
+    /// Ends that nobody has dealt with yet.
+    pub ended: Vec<Ended>,
+}
+
+/// Why an order was not carried out, or what is known of it.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum Fault {
+    /// A higher fencing token has reached the target.
+    #[display("superseded by a higher fencing token")]
+    Fenced,
+    /// The run is not higher than one that ended there.
+    #[display("run number already used")]
+    Stale,
+    /// The end of the lease has passed on the target's clock.
+    #[display("lease already over")]
+    Late,
+    /// The target guards its capacity and has no room.
+    #[display("no room")]
+    Full,
+    /// The target is unhealthy and has done nothing.
+    #[display("refused by an unhealthy target")]
+    Unhealthy,
+    /// Another life of the target answers at its address.
+    #[display("another incarnation answers")]
+    Reborn,
+    /// The order makes no sense to the target.
+    #[display("rejected as invalid")]
+    Invalid,
+    /// Nothing reached the target.
+    #[display("not sent")]
+    NotSent,
+    /// The order may have been carried out, or still may be.
+    #[display("outcome unknown")]
+    Unknown,
+}
+
+/// Sends orders to targets.
+pub trait Orders {
+    /// Starts a run; gives the target's clock in milliseconds.
+    fn start(&self, target: &Target, start: Start) -> LocalFuture<'static, Result<u64, Fault>>;
+
+    /// Stops a run.
+    fn stop(
+        &self,
+        target: &Target,
+        task: Task,
+        run: u32,
+        fence: u64,
+    ) -> LocalFuture<'static, Result<u64, Fault>>;
+
+    /// Renews the lease and lists runs and ends.
+    fn hold(&self, target: &Target, hold: Hold) -> LocalFuture<'static, Result<Listing, Fault>>;
+}
--- /dev/null
+++ b/crates/fleet/src/task.rs
@@ -0,0 +1,71 @@
+//! Names of tasks.
+
+use std::str::FromStr;
+
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+
+/// Digits of a job's id.
+const JOB_DIGITS: usize = 16;
+
+/// Id of a job that its caller chose.
+#[derive(
+    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[display("{_0:016x}")]
+pub struct Job(pub u64);
+
+/// Text that names no job or task.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("not the name of a job or task")]
+pub struct Malformed;
+
+impl FromStr for Job {
+    type Err = Malformed;
+
+    /// Parses 16 lower-case hexadecimal digits, the one form that [`Display`]
+    /// gives back.
+    fn from_str(text: &str) -> Result<Job, Malformed> {
+        let digit = |it: u8| it.is_ascii_digit() || (b'a'..=b'f').contains(&it);
+        if text.len() != JOB_DIGITS || !text.bytes().all(digit) {
+            return Err(Malformed);
+        }
+        let number = u64::from_str_radix(text, 16);
+        number.map(Job).map_err(|_| Malformed)
+    }
+}
+
+/// One task of a job.
+#[derive(
+    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[display("{job}.{occurrence}.{step}.{index}")]
+pub struct Task {
+    /// Job.
+    pub job: Job,
+    /// Repetition of the job, 0 for the first or only one.
+    pub occurrence: u32,
+    /// Step of the job.
+    pub step: u16,
+    /// Number within the step.
+    pub index: u16,
+}
+
+impl FromStr for Task {
+    type Err = Malformed;
+
+    fn from_str(text: &str) -> Result<Task, Malformed> {
+        let mut parts = text.split('.');
+        let mut part = || parts.next().ok_or(Malformed);
+        let task = Task {
+            job: part()?.parse()?,
+            occurrence: part()?.parse().map_err(|_| Malformed)?,
+            step: part()?.parse().map_err(|_| Malformed)?,
+            index: part()?.parse().map_err(|_| Malformed)?,
+        };
+        match parts.next() {
+            None => Ok(task),
+            Some(_) => Err(Malformed),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/trust.rs
@@ -0,0 +1,55 @@
+/*!
+Trust in a target after trouble.
+
+Load pattern: a target that fails everything at once has the most room of all
+and would draw every task. Faults in a row shut a target out for a time that
+doubles; one good run ends that. A target that comes back from a pause gets a
+single task first.
+*/
+
+use std::time::Duration;
+
+use bluebellpath_runtime::Instant;
+
+/// Faults in a row before a target is avoided; one may be the task's own.
+const TOLERATED: u32 = 1;
+
+/// First pause of a target, a few run times of a short task.
+const FIRST_PAUSE: Duration = Duration::from_millis(500);
+
+/// Longest pause; a target that recovers is back within it.
+const MAX_PAUSE: Duration = Duration::from_secs(4);
+
+/// Trust in one target.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Trust {
+    faults: u32,
+    paused_until: Option<Instant>,
+}
+
+impl Trust {
+    /// Notes a run that did its work.
+    pub fn succeed(&mut self) {
+        *self = Trust::default();
+    }
+
+    /// Notes a fault at `now`.
+    pub fn fail(&mut self, now: Instant) {
+        self.faults += 1;
+        let Some(beyond) = self.faults.checked_sub(TOLERATED + 1) else {
+            return;
+        };
+        let pause = FIRST_PAUSE * 2_u32.saturating_pow(beyond.min(8));
+        self.paused_until = Some(now + pause.min(MAX_PAUSE));
+    }
+
+    /// True while nothing is to be started there.
+    pub fn is_paused(&self, now: Instant) -> bool {
+        self.paused_until.is_some_and(|it| now < it)
+    }
+
+    /// True when its last runs did their work.
+    pub fn is_sound(&self) -> bool {
+        self.faults <= TOLERATED
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/work.rs
@@ -0,0 +1,90 @@
+//! Work that a front hands to the owner of a target.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Resources, Task};
+
+/// One run of a task, with what its owner needs to place it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Order {
+    /// Task.
+    pub task: Task,
+    /// Number of the run.
+    pub run: u32,
+    /// What to run.
+    pub spec: Rc<str>,
+    /// Service whose targets may run it.
+    pub service: Rc<str>,
+    /// What it takes.
+    pub resources: Resources,
+    /// Label that the target must carry.
+    pub constraint: Option<Rc<str>>,
+    /// Rack that holds its data.
+    pub affinity: Option<Rc<str>>,
+    /// Most tasks of its step on one target, 0 for any number.
+    pub spread: u16,
+    /// Declared run time in milliseconds.
+    pub estimate_ms: u32,
+    /// Priority, 0 first.
+    pub priority: u8,
+    /// Time left until its job is late, in milliseconds.
+    pub goal_ms: u32,
+    /// Longest wait for its start, in milliseconds from now.
+    pub patience_ms: u32,
+    /// Address of the front's own listener, which shows whose work it is.
+    pub front: SocketAddr,
+}
+
+/// What a front learns of a run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ending {
+    /// It did its work.
+    Done,
+    /// It failed on a target.
+    Failed,
+    /// It is certainly over and has not done its work.
+    Lost,
+    /// It certainly never started.
+    NotStarted(Reason),
+    /// Its target has another owner now, and may still run it.
+    Moved {
+        /// Id of the target.
+        target: Rc<str>,
+    },
+}
+
+/// Why a run never started.
+#[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reason {
+    /// No room came up in time.
+    #[display("no room in time")]
+    Busy,
+    /// The run number was used before.
+    #[display("run number already used")]
+    Stale,
+    /// No target here may run it.
+    #[display("no suitable target")]
+    Unsuitable,
+    /// The target rejected it as invalid.
+    #[display("rejected as invalid")]
+    Invalid,
+    /// Its front took it back.
+    #[display("taken back")]
+    Cancelled,
+    /// The instance is leaving.
+    #[display("instance is leaving")]
+    Leaving,
+}
+
+/// Load of an instance's own targets.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Free processor of each owned target that takes work, in cores.
+    pub holes: Vec<u16>,
+    /// Processor of all owned targets that take work, in cores.
+    pub cores: u32,
+    /// Work that waits, in core-milliseconds.
+    pub waiting: u64,
+}
