Look for lost runs by a census of the owners, and reload settings on SIGHUP

Cause: a task was started again while its first run went on: a front waited a fixed time for a run whose owner it had lost, while each new owner renewed the lease; a lost connection between instances stopped runs that were then started elsewhere. SIGHUP ended the process (exits with code 129). Change: a run counts as lost only when the holders of all targets where it may be say that it is not there, and they refuse it from then on; an owner leaves runs of a lost connection to a claim; an instance that hears no other domain leaves the targets of silent domains alone; settings reload.

--- a/crates/bluebellpath/src/daemon/mod.rs
+++ b/crates/bluebellpath/src/daemon/mod.rs
@@ -84,6 +84,7 @@
             &settings.name,
             incarnation,
             settings.log_level,
+            log::PER_SECOND,
         );
         let (env, config) = parts(settings, incarnation, &log)?;
         let entry = Entry::new(config, env);
--- a/crates/bluebellpath/src/daemon/stops.rs
+++ b/crates/bluebellpath/src/daemon/stops.rs
@@ -4,7 +4,7 @@
 
 use monoio::{io::AsyncReadRent, net::UnixStream};
 use signal_hook::{
-    consts::{SIGINT, SIGTERM},
+    consts::{SIGHUP, SIGINT, SIGTERM},
     low_level::pipe,
 };
 
@@ -23,6 +23,13 @@
         Stops::pipe(read)
     }
 
+    /// Requests that come as SIGHUP, to read the settings again.
+    pub fn reloads() -> io::Result<Stops> {
+        let (read, write) = StdStream::pair()?;
+        pipe::register(SIGHUP, write)?;
+        Stops::pipe(read)
+    }
+
     /// Requests that come as bytes on `read`.
     pub fn pipe(read: StdStream) -> io::Result<Stops> {
         read.set_nonblocking(true)?;
--- a/crates/bluebellpath/src/log/limited.rs
+++ b/crates/bluebellpath/src/log/limited.rs
@@ -5,9 +5,6 @@
 use bluebellpath_runtime::{Instant, clock};
 use slog::{Drain, Level, OwnedKVList, Record, RecordStatic, record_static};
 
-/// Messages of one cause that pass in one period.
-const MAX_PER_PERIOD: u32 = 10;
-
 /// Length of a period.
 const PERIOD: Duration = Duration::from_secs(1);
 
@@ -20,6 +17,7 @@
 /// A cause is the place in the code that logs.
 pub struct Limited<D> {
     drain: D,
+    per_second: u32,
     causes: RefCell<HashMap<(&'static str, u32), Cause>>,
 }
 
@@ -30,10 +28,11 @@
 }
 
 impl<D: Drain> Limited<D> {
-    /// Limits what reaches `drain`.
-    pub fn new(drain: D) -> Limited<D> {
+    /// Lets `per_second` messages of one cause reach `drain`.
+    pub fn new(drain: D, per_second: u32) -> Limited<D> {
         Limited {
             drain,
+            per_second,
             causes: RefCell::default(),
         }
     }
@@ -59,7 +58,7 @@
                 dropped: 0,
             };
         }
-        if cause.passed < MAX_PER_PERIOD {
+        if cause.passed < self.per_second {
             cause.passed += 1;
             return (true, reported);
         }
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -19,15 +19,15 @@
     time::Duration,
 };
 
-use bluebellpath_runtime::{Instant, clock, spawn};
+use bluebellpath_runtime::{Instant, LocalFuture, clock, spawn};
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use slog::{Logger, info};
 
 use crate::{
-    Job, Resources, Task,
+    Job, Resources, Target, Task,
     admission::{self, Outlook, Verdict},
     handover::{self, Distance, Owner},
-    keeper::Keeper,
+    keeper::{Keeper, Parting},
     member::{Fault, Peers, Reply, Request, Roster},
     work::{Ending, Order, Reason},
 };
@@ -358,8 +358,8 @@
         for run in 1..=MAX_RUNS {
             let order = self.order(ticket, step, task, run);
             let ending = match self.hand_over(ticket, &order).await {
-                Some(ending) => ending,
-                None => self.search(ticket, &order).await,
+                Whereabouts::Ended(ending) => ending,
+                Whereabouts::Among(tags) => self.search(ticket, &order, &tags).await,
             };
             ticket.out.borrow_mut().remove(&(task, run));
             if !matches!(ending, Ending::NotStarted(_)) {
@@ -409,20 +409,21 @@
         }
     }
 
-    /// Hands a run to an owner; `None` when it may be on any target.
-    async fn hand_over(self: &Rc<Self>, ticket: &Ticket<'_>, order: &Order) -> Option<Ending> {
+    /// Hands a run to an owner and waits for its end.
+    async fn hand_over(self: &Rc<Self>, ticket: &Ticket<'_>, order: &Order) -> Whereabouts {
         let Some(owner) = self.choose(order) else {
             clock::sleep(OFFER_PAUSE).await;
-            return Some(Ending::NotStarted(Reason::Leaving));
+            return Whereabouts::Ended(Ending::NotStarted(Reason::Leaving));
         };
         ticket
             .out
             .borrow_mut()
             .insert((order.task, order.run), owner);
         if owner == self.config.address {
-            let ending = self.keeper.run(order.clone()).await;
+            let ending = self.keeper.run(order.clone(), Parting::Stop).await;
             return settled(ending);
         }
+        let held = self.roster.held_by(owner);
         let recall = Recall::new(self, owner, order);
         let reply = self.peers.call(owner, Request::Run(order.clone())).await;
         recall.done();
@@ -433,41 +434,82 @@
             }
             Ok(_) | Err(Fault::NotSent) => {
                 self.distrust(owner);
-                Some(Ending::NotStarted(Reason::Leaving))
+                Whereabouts::Ended(Ending::NotStarted(Reason::Leaving))
             }
             Err(Fault::Unknown) => {
                 self.distrust(owner);
                 info!(self.log, "owner lost"; "task" => %order.task, "run" => order.run,
                     "owner" => %owner);
-                None
+                Whereabouts::Among(held)
             }
         }
     }
 
-    /// Looks for a run at all owners until it is certainly over.
-    async fn search(self: &Rc<Self>, ticket: &Ticket<'_>, order: &Order) -> Ending {
+    /// Looks for a run at all owners until it is certainly over: none that
+    /// holds one of the targets `tags` has it.
+    async fn search(self: &Rc<Self>, ticket: &Ticket<'_>, order: &Order, tags: &[u32]) -> Ending {
         ticket.begun.set(true);
-        let end = clock::now() + self.config.orphan;
+        let since = clock::now();
+        let end = since + self.config.orphan;
         while clock::now() < end {
-            let own = self.keeper.claim(order.clone()).await;
-            if let Some(ending) = own {
-                return ending;
+            let claims = self.claims(order);
+            match clock::timeout_at(end, self.census(claims, tags)).await {
+                Some(Census::Ended(ending)) => return ending,
+                Some(Census::Nowhere) => break,
+                Some(Census::Unclear) => clock::sleep(SEARCH_PAUSE).await,
+                None => {}
             }
-            for beacon in self.roster.alive() {
-                let recall = Recall::new(self, beacon.address, order);
-                let reply = self
-                    .peers
-                    .call(beacon.address, Request::Claim(order.clone()));
-                let reply = reply.await;
+        }
+        info!(self.log, "run not found again"; "task" => %order.task, "run" => order.run,
+            "searched_ms" => millis(clock::now() - since));
+        Ending::Lost
+    }
+
+    /// Claims of a run at every owner.
+    fn claims(self: &Rc<Self>, order: &Order) -> FuturesUnordered<LocalFuture<'static, Claimed>> {
+        let claims = FuturesUnordered::new();
+        let (keeper, own) = (self.keeper.clone(), order.clone());
+        claims.push(Box::pin(async move {
+            match keeper.claim(own, Parting::Stop).await {
+                Some(ending) => Claimed::Ended(ending),
+                None => Claimed::Missing(keeper.settled()),
+            }
+        }) as LocalFuture<'static, Claimed>);
+        for beacon in self.roster.alive() {
+            let recall = Recall::new(self, beacon.address, order);
+            let claim = self
+                .peers
+                .call(beacon.address, Request::Claim(order.clone()));
+            claims.push(Box::pin(async move {
+                let reply = claim.await;
                 recall.done();
-                if let Ok(Reply::Ended(ending, _)) = reply {
-                    return ending;
+                match reply {
+                    Ok(Reply::Ended(ending, _)) => Claimed::Ended(ending),
+                    Ok(Reply::Missing { settled }) => Claimed::Missing(settled),
+                    Ok(_) | Err(_) => Claimed::Silent,
                 }
+            }));
+        }
+        claims
+    }
+
+    async fn census(
+        &self,
+        mut claims: FuturesUnordered<LocalFuture<'static, Claimed>>,
+        tags: &[u32],
+    ) -> Census {
+        let mut settled: Vec<u32> = Vec::new();
+        while let Some(claimed) = claims.next().await {
+            match claimed {
+                Claimed::Ended(Ending::Moved { .. }) | Claimed::Silent => {}
+                Claimed::Ended(ending) => return Census::Ended(ending),
+                Claimed::Missing(there) => settled.extend(there),
+            }
+            if !tags.is_empty() && tags.iter().all(|it| settled.contains(it)) {
+                return Census::Nowhere;
             }
-            clock::sleep(SEARCH_PAUSE).await;
         }
-        info!(self.log, "run not found again"; "task" => %order.task, "run" => order.run);
-        Ending::Lost
+        Census::Unclear
     }
 
     fn distrust(&self, peer: SocketAddr) {
@@ -523,11 +565,34 @@
     }
 }
 
-/// Ending that says where the run is, `None` where it may be on any target.
-fn settled(ending: Ending) -> Option<Ending> {
+/// What one owner says of a run that is looked for.
+enum Claimed {
+    Ended(Ending),
+    /// It is on none of the targets with these tags.
+    Missing(Vec<u32>),
+    Silent,
+}
+
+/// What all owners together say of it.
+enum Census {
+    Ended(Ending),
+    /// It is on no target, and will not start on one.
+    Nowhere,
+    Unclear,
+}
+
+/// Where a run is that was handed over.
+enum Whereabouts {
+    /// It is over.
+    Ended(Ending),
+    /// It may be on any of the targets with these tags.
+    Among(Vec<u32>),
+}
+
+fn settled(ending: Ending) -> Whereabouts {
     match ending {
-        Ending::Moved { .. } => None,
-        ending => Some(ending),
+        Ending::Moved { target } => Whereabouts::Among(vec![Target::tag(&target)]),
+        ending => Whereabouts::Ended(ending),
     }
 }
 
--- a/crates/fleet/src/keeper/begin.rs
+++ b/crates/fleet/src/keeper/begin.rs
@@ -48,6 +48,7 @@
         started_ms: None,
         start_by: place.start_by,
         give_up: waiting.give_up,
+        claim_by: None,
     };
     state.runs.insert(key, run);
     drop(state);
--- a/crates/fleet/src/keeper/held.rs
+++ b/crates/fleet/src/keeper/held.rs
@@ -67,6 +67,8 @@
     pub(super) started_ms: Option<u64>,
     pub(super) start_by: Instant,
     pub(super) give_up: Instant,
+    /// Time by which a front must have claimed it, if it has none.
+    pub(super) claim_by: Option<Instant>,
 }
 
 /// Consequence of a listing for one run.
@@ -229,7 +231,8 @@
                 fence,
                 started_ms: Some(listing.clock_ms),
                 start_by: now,
-                give_up: now + claim_wait,
+                give_up: now,
+                claim_by: Some(now + claim_wait),
             });
             if run.phase == Phase::Doubtful {
                 run.phase = Phase::Running;
--- a/crates/fleet/src/keeper/mod.rs
+++ b/crates/fleet/src/keeper/mod.rs
@@ -43,6 +43,9 @@
 /// Longest such time.
 const MAX_YIELD: Duration = Duration::from_secs(8);
 
+/// Time for which an order may be on its way from a front.
+const BARRED: Duration = Duration::from_secs(10);
+
 /// Thousandths of a core in a core.
 const MILLICORES: u32 = 1_000;
 
@@ -77,6 +80,9 @@
     waiting: RefCell<HashMap<Key, Place>>,
     yielded: RefCell<BTreeMap<Rc<str>, (Instant, Duration)>>,
     leaving: Cell<bool>,
+    /// Runs that must not start here any more, for as long as an order for one
+    /// may be on its way.
+    barred: RefCell<BTreeMap<Key, Instant>>,
 }
 
 struct Waiting {
@@ -99,6 +105,7 @@
             waiting: RefCell::default(),
             yielded: RefCell::default(),
             leaving: Cell::new(false),
+            barred: RefCell::default(),
         }))
     }
 
@@ -145,16 +152,27 @@
         held.values().all(|it| it.state.borrow().known)
     }
 
-    /// Runs a task and waits for its end; dropping the future stops it.
-    pub fn run(&self, order: Order) -> LocalFuture<'static, Ending> {
+    /// Tags of the targets whose runs are all known.
+    pub fn settled(&self) -> Vec<u32> {
+        let held = self.0.held.borrow();
+        let known = held.iter().filter(|(_, it)| it.state.borrow().known);
+        known.map(|(id, _)| Target::tag(id)).collect()
+    }
+
+    /// Runs a task and waits for its end. Dropping the future stops it, or
+    /// leaves it to a claim for a while, as `parting` says.
+    pub fn run(&self, order: Order, parting: Parting) -> LocalFuture<'static, Ending> {
         let shared = self.0.clone();
         Box::pin(async move {
+            let key = (order.task, order.run);
             if shared.leaving.get() {
                 return Ending::NotStarted(Reason::Leaving);
             }
-            let key = (order.task, order.run);
+            if shared.barred.borrow().contains_key(&key) {
+                return Ending::NotStarted(Reason::Stale);
+            }
+            let guard = Guard::new(&shared, key, parting);
             let (reply, ending) = oneshot::channel();
-            let guard = Guard::new(&shared, key);
             let now = clock::now();
             let goal = Duration::from_millis(order.goal_ms.into());
             let estimate = Duration::from_millis(order.estimate_ms.into());
@@ -170,27 +188,32 @@
         })
     }
 
-    /// Takes charge of a run that another owner started; `None` at once where
-    /// it is on no target held here.
-    pub fn claim(&self, order: Order) -> LocalFuture<'static, Option<Ending>> {
+    /// Takes charge of a run that another owner started, or whose connection
+    /// was lost; `None` at once where it is on no target held here, and then it
+    /// will not start on any of them either.
+    pub fn claim(&self, order: Order, parting: Parting) -> LocalFuture<'static, Option<Ending>> {
         let shared = self.0.clone();
         Box::pin(async move {
             let key = (order.task, order.run);
+            let guard = Guard::new(&shared, key, parting);
             let (reply, ending) = oneshot::channel();
             match shared.adopt(key, order, reply) {
-                Adopted::Ended(ending) => Some(ending),
-                Adopted::Running => {
-                    let guard = Guard::new(&shared, key);
-                    Some(guard.end(ending.await))
+                Adopted::Ended(ending) => Some(guard.end(Ok(ending))),
+                Adopted::Running => Some(guard.end(ending.await)),
+                Adopted::Missing => {
+                    shared.bar(key);
+                    guard.disarm();
+                    None
                 }
-                Adopted::Missing => None,
             }
         })
     }
 
     /// Stops a run, or takes it out of the queue.
     pub fn cancel(&self, task: crate::Task, run: u32) {
-        self.0.cancel((task, run), "cancelled by its front");
+        if !self.0.cancel((task, run), "cancelled by its front") {
+            self.0.bar((task, run));
+        }
     }
 
     /// Stops all that runs for a front that is gone.
@@ -278,7 +301,7 @@
         let held: Vec<_> = self.0.held.borrow().values().cloned().collect();
         for held in held {
             let state = held.state.borrow();
-            let unclaimed = |run: &Run| run.phase == Phase::Unclaimed && now >= run.give_up;
+            let unclaimed = |run: &Run| run.claim_by.is_some_and(|it| now >= it);
             let stray = state.runs.iter().filter(|(_, run)| unclaimed(run));
             let stray: Vec<Key> = stray.map(|(key, _)| *key).collect();
             drop(state);
@@ -286,10 +309,20 @@
                 self.0.cancel(key, "nobody claimed it");
             }
         }
+        self.0.barred.borrow_mut().retain(|_, until| now < *until);
         self.0.dispatch();
     }
 }
 
+/// What becomes of a run when nobody waits for it any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Parting {
+    /// Its caller has left: it is stopped.
+    Stop,
+    /// The connection to its front was lost: the front may claim it.
+    Orphan,
+}
+
 enum Adopted {
     Ended(Ending),
     Running,
@@ -427,6 +460,13 @@
 
     fn adopt(&self, key: Key, order: Order, reply: oneshot::Sender<Ending>) -> Adopted {
         let now = clock::now();
+        if let Some(place) = self.waiting.borrow().get(&key) {
+            if let Some(waiting) = self.queue.borrow_mut().get_mut(*place) {
+                waiting.reply = reply;
+                waiting.order = order;
+            }
+            return Adopted::Running;
+        }
         for held in self.held.borrow().values() {
             let mut state = held.state.borrow_mut();
             if let Some(how) = state.take_end(key) {
@@ -435,12 +475,11 @@
             let Some(run) = state.runs.get_mut(&key) else {
                 continue;
             };
-            if run.phase == Phase::Stopping {
-                continue;
-            }
+            // One that is being stopped is over only once it is gone.
             if run.phase == Phase::Unclaimed {
                 run.phase = Phase::Running;
             }
+            run.claim_by = None;
             run.front = Some(order.front);
             run.reply = Some(reply);
             run.give_up = now + Duration::from_millis(order.patience_ms.into());
@@ -452,7 +491,43 @@
         Adopted::Missing
     }
 
-    fn cancel(self: &Rc<Self>, key: Key, cause: &'static str) {
+    /// Keeps a run from starting here.
+    fn bar(&self, key: Key) {
+        let until = clock::now() + BARRED;
+        self.barred.borrow_mut().insert(key, until);
+    }
+
+    /// Leaves a run whose front was lost to a claim.
+    fn orphan(self: &Rc<Self>, key: Key) {
+        let claim_by = clock::now() + self.config.claim;
+        for held in self.held.borrow().values() {
+            if let Some(run) = held.state.borrow_mut().runs.get_mut(&key) {
+                run.claim_by = Some(claim_by);
+                return;
+            }
+        }
+        self.cancel(key, "connection to its front lost");
+    }
+
+    /// True when nobody but the caller waits for a run.
+    fn is_left(&self, key: Key) -> bool {
+        if let Some(place) = self.waiting.borrow().get(&key) {
+            let mut queue = self.queue.borrow_mut();
+            return queue
+                .get_mut(*place)
+                .is_none_or(|it| it.reply.is_canceled());
+        }
+        let held = self.held.borrow();
+        held.values().all(|held| {
+            let state = held.state.borrow();
+            let run = state.runs.get(&key);
+            let reply = run.and_then(|it| it.reply.as_ref());
+            reply.is_none_or(|it| it.is_canceled())
+        })
+    }
+
+    /// Stops a run or takes it out of the queue; false where it is not here.
+    fn cancel(self: &Rc<Self>, key: Key, cause: &'static str) -> bool {
         let place = self.waiting.borrow_mut().remove(&key);
         if let Some(place) = place {
             let waiting = self.queue.borrow_mut().remove(place);
@@ -460,7 +535,7 @@
                 // Whoever waited may be gone already.
                 let _ = waiting.reply.send(Ending::NotStarted(Reason::Cancelled));
             }
-            return;
+            return true;
         }
         let held: Vec<_> = self.held.borrow().values().cloned().collect();
         for held in held {
@@ -469,10 +544,11 @@
                 continue;
             };
             if run.phase == Phase::Stopping {
-                return;
+                return true;
             }
             let starting = run.phase == Phase::Starting;
             run.phase = Phase::Stopping;
+            run.claim_by = None;
             drop(state);
             info!(self.log, "stopping run"; "task" => %key.0, "run" => key.1,
                 "target" => %held.target.borrow().id, "cause" => cause);
@@ -480,8 +556,9 @@
             if !starting {
                 drop(spawn(begin::stop(self.clone(), held.clone(), key)));
             }
-            return;
+            return true;
         }
+        false
     }
 
     /// Carries out what a listing showed.
@@ -557,20 +634,26 @@
     u64::from(order.resources.cpu) * u64::from(order.estimate_ms) / u64::from(MILLICORES)
 }
 
-/// Stops a run whose waiter goes away first.
+/// Parts from a run whose waiter goes away first.
 struct Guard {
     shared: Rc<Shared>,
     key: Option<Key>,
+    parting: Parting,
 }
 
 impl Guard {
-    fn new(shared: &Rc<Shared>, key: Key) -> Guard {
+    fn new(shared: &Rc<Shared>, key: Key, parting: Parting) -> Guard {
         Guard {
             shared: shared.clone(),
             key: Some(key),
+            parting,
         }
     }
 
+    fn disarm(mut self) {
+        self.key = None;
+    }
+
     fn end(mut self, ending: Result<Ending, oneshot::Canceled>) -> Ending {
         self.key = None;
         // The sender is dropped only with a run that was stopped.
@@ -580,8 +663,16 @@
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        if let Some(key) = self.key {
-            self.shared.cancel(key, "nobody waits for it");
+        let Some(key) = self.key else { return };
+        // A claim on another connection may have come first.
+        if !self.shared.is_left(key) {
+            return;
+        }
+        match self.parting {
+            Parting::Stop => {
+                self.shared.cancel(key, "nobody waits for it");
+            }
+            Parting::Orphan => self.shared.orphan(key),
         }
     }
 }
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -37,6 +37,8 @@
     pub leaving: bool,
     /// Load of its targets.
     pub load: Load,
+    /// Tags of the targets that it holds.
+    pub held: Vec<u32>,
     /// Configuration version that it knows.
     pub config: u64,
 }
@@ -68,8 +70,11 @@
 pub enum Reply {
     /// End of the run, and the load of its owner now.
     Ended(Ending, Load),
-    /// No such run here.
-    Missing,
+    /// No such run here, and none will start.
+    Missing {
+        /// Tags of the targets of which this is certain.
+        settled: Vec<u32>,
+    },
     /// Done.
     Accepted,
     /// Configuration document, as the operator wrote it.
@@ -213,6 +218,13 @@
         alive.map(|it| it.beacon.clone()).collect()
     }
 
+    /// Tags of the targets that the peer at `address` holds.
+    pub fn held_by(&self, address: SocketAddr) -> Vec<u32> {
+        let peers = self.peers.borrow();
+        let peer = peers.values().find(|it| it.beacon.address == address);
+        peer.map(|it| it.beacon.held.clone()).unwrap_or_default()
+    }
+
     /// Notes the load that a reply of `address` told.
     pub fn note_load(&self, address: SocketAddr, load: Load) {
         let mut peers = self.peers.borrow_mut();
@@ -223,6 +235,10 @@
     }
 
     /// Instance that should own the target `id` in `domain`, as `own` sees it.
+    ///
+    /// A whole domain that fell silent may be cut off rather than gone. Who
+    /// hears nobody outside its own domain either is on the wrong side of the
+    /// cut, and leaves that domain's targets alone.
     pub fn owner(
         &self,
         id: &str,
@@ -231,6 +247,12 @@
         leaving: bool,
     ) -> Option<Rc<str>> {
         let peers = self.peers.borrow();
+        let outside = |it: &&Peer| it.beacon.domain.as_ref() != own.domain;
+        let known = peers.values().any(|it| it.beacon.domain.as_ref() == domain);
+        let isolated = !peers.values().filter(outside).any(|it| it.alive);
+        if own.domain != domain && known && isolated {
+            return None;
+        }
         let others = peers.values().filter(|it| it.alive && !it.beacon.leaving);
         let others = others.map(|it| Candidate {
             name: &it.beacon.name,
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -21,7 +21,7 @@
     Target,
     config::Config as Queues,
     front::{self, Front},
-    keeper::{self, Keeper},
+    keeper::{self, Keeper, Parting},
     member::{self, Beacon, Change, Peers, Reply, Request, Roster},
     orders::Orders,
     ownership::Candidate,
@@ -214,13 +214,15 @@
         let keeper = self.keeper.clone();
         match request {
             Request::Run(order) => Box::pin(async move {
-                let ending = keeper.run(order).await;
+                let ending = keeper.run(order, Parting::Orphan).await;
                 Reply::Ended(ending, keeper.load())
             }),
             Request::Claim(order) => Box::pin(async move {
-                match keeper.claim(order).await {
+                match keeper.claim(order, Parting::Orphan).await {
                     Some(ending) => Reply::Ended(ending, keeper.load()),
-                    None => Reply::Missing,
+                    None => Reply::Missing {
+                        settled: keeper.settled(),
+                    },
                 }
             }),
             Request::Cancel { task, run } => {
@@ -306,6 +308,12 @@
             strength: self.config.strength,
             leaving: self.leaving.get(),
             load: self.keeper.load(),
+            held: self
+                .keeper
+                .owned()
+                .iter()
+                .map(|it| Target::tag(it))
+                .collect(),
             config: self.queues.borrow().version,
         };
         let far: Vec<SocketAddr> = {
--- a/crates/fleet/src/queue.rs
+++ b/crates/fleet/src/queue.rs
@@ -54,6 +54,11 @@
         place
     }
 
+    /// A task that waits.
+    pub fn get_mut(&mut self, place: Place) -> Option<&mut T> {
+        self.waiting.get_mut(&place)
+    }
+
     /// Removes a task.
     pub fn remove(&mut self, place: Place) -> Option<T> {
         self.waiting.remove(&place)
--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -26,6 +26,14 @@
 }
 
 impl Target {
+    /// Short name of the target `id` in messages between instances.
+    pub fn tag(id: &str) -> u32 {
+        let hash = blake3::hash(id.as_bytes());
+        let mut low = [0; 4];
+        low.copy_from_slice(&hash.as_bytes()[..4]);
+        u32::from_le_bytes(low)
+    }
+
     /// True when it carries `label`.
     pub fn has(&self, label: &str) -> bool {
         self.labels.iter().any(|it| &**it == label)
