Wait for claims that were taken up, and answer all jobs before a stop

Cause: TWICE: the search's time limit also cut short claims whose owner had adopted the run; the front took it for lost. LOST: a process at the end of its grace closed channels with jobs that it had taken shortly before. Change: the limit holds only for owners that do not live; a stopping front refuses what can't be done in time and answers the rest before it ends.

--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -15,12 +15,18 @@
     cell::{Cell, RefCell},
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
+    pin::{Pin, pin},
     rc::Rc,
+    task::{Context, Poll},
     time::Duration,
 };
 
-use bluebellpath_runtime::{Instant, LocalFuture, clock, spawn};
-use futures_util::{StreamExt, stream::FuturesUnordered};
+use bluebellpath_runtime::{Instant, LocalFuture, Notify, clock, spawn};
+use futures_util::{
+    StreamExt,
+    future::{Either, select},
+    stream::FuturesUnordered,
+};
 use slog::{Logger, info};
 
 use crate::{
@@ -147,6 +153,9 @@
     jobs: RefCell<HashMap<Job, Rc<str>>>,
     failing: RefCell<BTreeMap<SocketAddr, Instant>>,
     counts: Cell<Counts>,
+    /// Time by which every job must be answered, once the instance stops.
+    close_at: Cell<Option<Instant>>,
+    closing: Notify,
 }
 
 /// What happened to one task.
@@ -175,6 +184,8 @@
             jobs: RefCell::default(),
             failing: RefCell::default(),
             counts: Cell::default(),
+            close_at: Cell::default(),
+            closing: Notify::new(),
         }))
     }
 
@@ -188,6 +199,12 @@
         self.0.counts.get()
     }
 
+    /// Answers every job by `at`; refuses those that can't be done by then.
+    pub fn close(&self, at: Instant) {
+        self.0.close_at.set(Some(at));
+        self.0.closing.notify();
+    }
+
     /// Serves a job; dropping the future stops its tasks.
     pub async fn submit(&self, submission: Submission) -> Answer {
         let shared = &self.0;
@@ -274,10 +291,17 @@
             ending: Cell::new(false),
             out: RefCell::default(),
         };
-        let steps = self.steps(&ticket);
-        match clock::timeout_at(since + submission.deadline, steps).await {
-            Some(answer) => answer,
-            None => Answer::Unknown,
+        let steps = clock::timeout_at(since + submission.deadline, self.steps(&ticket));
+        let closed = async {
+            while self.close_at.get().is_none() {
+                self.closing.notified().await;
+            }
+            clock::sleep_until(self.close_at.get().unwrap_or_default()).await;
+        };
+        match select(pin!(steps), pin!(closed)).await {
+            Either::Left((Some(answer), _)) => answer,
+            Either::Left((None, _)) => Answer::Unknown,
+            Either::Right(_) => give_up(&self.log, &ticket, Reason::Leaving),
         }
     }
 
@@ -294,7 +318,10 @@
                 wait = wait.max(expected);
             }
         }
-        let limit = (submission.goal * LATE_FACTOR).min(submission.deadline);
+        let mut limit = (submission.goal * LATE_FACTOR).min(submission.deadline);
+        if let Some(at) = self.close_at.get() {
+            limit = limit.min(at - clock::now());
+        }
         admission::decide(Outlook { wait, run, limit })
     }
 
@@ -452,12 +479,10 @@
         let since = clock::now();
         let end = since + self.config.orphan;
         while clock::now() < end {
-            let claims = self.claims(order);
-            match clock::timeout_at(end, self.census(claims, tags)).await {
-                Some(Census::Ended(ending)) => return ending,
-                Some(Census::Nowhere) => break,
-                Some(Census::Unclear) => clock::sleep(SEARCH_PAUSE).await,
-                None => {}
+            match self.census(self.claims(order), tags, end).await {
+                Census::Ended(ending) => return ending,
+                Census::Nowhere => break,
+                Census::Unclear => clock::sleep(SEARCH_PAUSE).await,
             }
         }
         info!(self.log, "run not found again"; "task" => %order.task, "run" => order.run,
@@ -466,21 +491,25 @@
     }
 
     /// Claims of a run at every owner.
-    fn claims(self: &Rc<Self>, order: &Order) -> FuturesUnordered<LocalFuture<'static, Claimed>> {
-        let claims = FuturesUnordered::new();
+    fn claims(self: &Rc<Self>, order: &Order) -> Claims {
+        let claims = Claims::new();
         let (keeper, own) = (self.keeper.clone(), order.clone());
-        claims.push(Box::pin(async move {
+        let claimed = async move {
             match keeper.claim(own, Parting::Stop).await {
                 Some(ending) => Claimed::Ended(ending),
                 None => Claimed::Missing(keeper.settled()),
             }
-        }) as LocalFuture<'static, Claimed>);
+        };
+        claims.push(Claim {
+            owner: self.config.address,
+            claimed: Box::pin(claimed),
+        });
         for beacon in self.roster.alive() {
             let recall = Recall::new(self, beacon.address, order);
             let claim = self
                 .peers
                 .call(beacon.address, Request::Claim(order.clone()));
-            claims.push(Box::pin(async move {
+            let claimed = async move {
                 let reply = claim.await;
                 recall.done();
                 match reply {
@@ -488,18 +517,36 @@
                     Ok(Reply::Missing { settled }) => Claimed::Missing(settled),
                     Ok(_) | Err(_) => Claimed::Silent,
                 }
-            }));
+            };
+            claims.push(Claim {
+                owner: beacon.address,
+                claimed: Box::pin(claimed),
+            });
         }
         claims
     }
 
-    async fn census(
-        &self,
-        mut claims: FuturesUnordered<LocalFuture<'static, Claimed>>,
-        tags: &[u32],
-    ) -> Census {
+    /// Hears all owners out. One that has taken charge of the run answers only
+    /// with its end; one that is gone never does.
+    async fn census(&self, mut claims: Claims, tags: &[u32], end: Instant) -> Census {
         let mut settled: Vec<u32> = Vec::new();
-        while let Some(claimed) = claims.next().await {
+        let mut silent: Vec<SocketAddr> = claims.iter().map(|it| it.owner).collect();
+        loop {
+            let wait = end.max(clock::now() + SEARCH_PAUSE);
+            let Some(next) = clock::timeout_at(wait, claims.next()).await else {
+                let alive = self.roster.alive();
+                let own = self.config.address;
+                let lives =
+                    |it: &SocketAddr| *it == own || alive.iter().any(|peer| peer.address == *it);
+                if silent.iter().any(lives) {
+                    continue;
+                }
+                return Census::Unclear;
+            };
+            let Some((owner, claimed)) = next else {
+                return Census::Unclear;
+            };
+            silent.retain(|it| *it != owner);
             match claimed {
                 Claimed::Ended(Ending::Moved { .. }) | Claimed::Silent => {}
                 Claimed::Ended(ending) => return Census::Ended(ending),
@@ -509,7 +556,6 @@
                 return Census::Nowhere;
             }
         }
-        Census::Unclear
     }
 
     fn distrust(&self, peer: SocketAddr) {
@@ -573,6 +619,23 @@
     Silent,
 }
 
+type Claims = FuturesUnordered<Claim>;
+
+/// Claim that one owner has not answered yet.
+struct Claim {
+    owner: SocketAddr,
+    claimed: LocalFuture<'static, Claimed>,
+}
+
+impl Future for Claim {
+    type Output = (SocketAddr, Claimed);
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Self::Output> {
+        let owner = self.owner;
+        self.claimed.as_mut().poll(cx).map(|it| (owner, it))
+    }
+}
+
 /// What all owners together say of it.
 enum Census {
     Ended(Ending),
