Confirm ownership with a fresh look before a run is called missing

Ruled out: the new owner's listing, which showed the run. Change: a claim names the targets where the run may be; each holder looks at them under its token before it answers.

--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -479,7 +479,7 @@
         let since = clock::now();
         let end = since + self.config.orphan;
         while clock::now() < end {
-            match self.census(self.claims(order), tags, end).await {
+            match self.census(self.claims(order, tags), tags, end).await {
                 Census::Ended(ending) => return ending,
                 Census::Nowhere => break,
                 Census::Unclear => clock::sleep(SEARCH_PAUSE).await,
@@ -491,13 +491,15 @@
     }
 
     /// Claims of a run at every owner.
-    fn claims(self: &Rc<Self>, order: &Order) -> Claims {
+    fn claims(self: &Rc<Self>, order: &Order, tags: &[u32]) -> Claims {
         let claims = Claims::new();
-        let (keeper, own) = (self.keeper.clone(), order.clone());
+        let claim = self
+            .keeper
+            .claim(order.clone(), tags.to_vec(), Parting::Stop);
         let claimed = async move {
-            match keeper.claim(own, Parting::Stop).await {
-                Some(ending) => Claimed::Ended(ending),
-                None => Claimed::Missing(keeper.settled()),
+            match claim.await {
+                Ok(ending) => Claimed::Ended(ending),
+                Err(settled) => Claimed::Missing(settled),
             }
         };
         claims.push(Claim {
@@ -506,9 +508,13 @@
         });
         for beacon in self.roster.alive() {
             let recall = Recall::new(self, beacon.address, order);
-            let claim = self
-                .peers
-                .call(beacon.address, Request::Claim(order.clone()));
+            let claim = self.peers.call(
+                beacon.address,
+                Request::Claim {
+                    order: order.clone(),
+                    tags: tags.to_vec(),
+                },
+            );
             let claimed = async move {
                 let reply = claim.await;
                 recall.done();
--- a/crates/fleet/src/keeper/held.rs
+++ b/crates/fleet/src/keeper/held.rs
@@ -89,6 +89,12 @@
     /// Wakes its watch for a look without delay.
     pub(super) urgent: Notify,
     pub(super) released: Cell<bool>,
+    /// Number of the last look that somebody asked for.
+    pub(super) asked: Cell<u64>,
+    /// Number of the last one that was answered.
+    pub(super) answered: Cell<u64>,
+    /// Wakes those who asked for a look.
+    pub(super) looked: Notify,
 }
 
 /// What is known of it.
@@ -130,9 +136,28 @@
             }),
             urgent: Notify::new(),
             released: Cell::new(false),
+            asked: Cell::new(0),
+            answered: Cell::new(0),
+            looked: Notify::new(),
         }
     }
 
+    /// Looks at the target now; true when it still obeys this owner.
+    ///
+    /// An owner that was fenced off learns of it only with its next look.
+    pub(super) async fn confirm(&self, wait: Duration) -> bool {
+        let number = self.asked.get() + 1;
+        self.asked.set(number);
+        self.urgent.notify();
+        let answered = async {
+            while self.answered.get() < number && !self.released.get() {
+                self.looked.notified().await;
+            }
+        };
+        clock::timeout(wait, answered).await;
+        self.answered.get() >= number && !self.released.get() && self.state.borrow().known
+    }
+
     /// Room for new tasks, nothing while unknown runs take some of it.
     pub(super) fn free(&self) -> Resources {
         let state = self.state.borrow();
--- a/crates/fleet/src/keeper/mod.rs
+++ b/crates/fleet/src/keeper/mod.rs
@@ -25,6 +25,7 @@
 
 use bluebellpath_runtime::{Instant, LocalFuture, clock, spawn};
 use futures_channel::oneshot;
+use futures_util::future::join_all;
 use slog::{Logger, info};
 
 use self::held::{Held, Key, Phase, Run, millis};
@@ -152,13 +153,6 @@
         held.values().all(|it| it.state.borrow().known)
     }
 
-    /// Tags of the targets whose runs are all known.
-    pub fn settled(&self) -> Vec<u32> {
-        let held = self.0.held.borrow();
-        let known = held.iter().filter(|(_, it)| it.state.borrow().known);
-        known.map(|(id, _)| Target::tag(id)).collect()
-    }
-
     /// Runs a task and waits for its end. Dropping the future stops it, or
     /// leaves it to a claim for a while, as `parting` says.
     pub fn run(&self, order: Order, parting: Parting) -> LocalFuture<'static, Ending> {
@@ -189,21 +183,36 @@
     }
 
     /// Takes charge of a run that another owner started, or whose connection
-    /// was lost; `None` at once where it is on no target held here, and then it
-    /// will not start on any of them either.
-    pub fn claim(&self, order: Order, parting: Parting) -> LocalFuture<'static, Option<Ending>> {
+    /// was lost.
+    ///
+    /// Where it is on no target held here, says at once on which of the targets
+    /// `tags` it is not, each of which was just looked at, and keeps it from
+    /// starting on any of them.
+    pub fn claim(
+        &self,
+        order: Order,
+        tags: Vec<u32>,
+        parting: Parting,
+    ) -> LocalFuture<'static, Result<Ending, Vec<u32>>> {
         let shared = self.0.clone();
         Box::pin(async move {
             let key = (order.task, order.run);
             let guard = Guard::new(&shared, key, parting);
             let (reply, ending) = oneshot::channel();
-            match shared.adopt(key, order, reply) {
-                Adopted::Ended(ending) => Some(guard.end(Ok(ending))),
-                Adopted::Running => Some(guard.end(ending.await)),
+            let mut reply = Some(reply);
+            let mut adopted = shared.adopt(key, &order, &mut reply);
+            let mut settled = Vec::new();
+            if matches!(adopted, Adopted::Missing) {
+                settled = shared.confirm(&tags).await;
+                adopted = shared.adopt(key, &order, &mut reply);
+            }
+            match adopted {
+                Adopted::Ended(ending) => Ok(guard.end(Ok(ending))),
+                Adopted::Running => Ok(guard.end(ending.await)),
                 Adopted::Missing => {
                     shared.bar(key);
                     guard.disarm();
-                    None
+                    Err(settled)
                 }
             }
         })
@@ -458,12 +467,35 @@
         }
     }
 
-    fn adopt(&self, key: Key, order: Order, reply: oneshot::Sender<Ending>) -> Adopted {
+    /// Looks at the targets `tags` that are held here; says which obey.
+    async fn confirm(&self, tags: &[u32]) -> Vec<u32> {
+        let held = self.held.borrow();
+        let wanted = held
+            .iter()
+            .map(|(id, held)| (Target::tag(id), held.clone()));
+        let wanted: Vec<_> = wanted.filter(|(tag, _)| tags.contains(tag)).collect();
+        drop(held);
+        let looks = wanted.iter().map(|(tag, held)| async {
+            let obeys = held.confirm(self.config.answer).await;
+            obeys.then_some(*tag)
+        });
+        join_all(looks).await.into_iter().flatten().collect()
+    }
+
+    /// Takes charge of a run that is here; `reply` is taken if it goes on.
+    fn adopt(
+        &self,
+        key: Key,
+        order: &Order,
+        reply: &mut Option<oneshot::Sender<Ending>>,
+    ) -> Adopted {
         let now = clock::now();
         if let Some(place) = self.waiting.borrow().get(&key) {
-            if let Some(waiting) = self.queue.borrow_mut().get_mut(*place) {
+            if let Some(waiting) = self.queue.borrow_mut().get_mut(*place)
+                && let Some(reply) = reply.take()
+            {
                 waiting.reply = reply;
-                waiting.order = order;
+                waiting.order = order.clone();
             }
             return Adopted::Running;
         }
@@ -481,9 +513,9 @@
             }
             run.claim_by = None;
             run.front = Some(order.front);
-            run.reply = Some(reply);
+            run.reply = reply.take();
             run.give_up = now + Duration::from_millis(order.patience_ms.into());
-            run.order.get_or_insert(order);
+            run.order.get_or_insert_with(|| order.clone());
             info!(self.log, "adopted run"; "task" => %key.0, "run" => key.1,
                 "target" => %held.target.borrow().id);
             return Adopted::Running;
--- a/crates/fleet/src/keeper/watch.rs
+++ b/crates/fleet/src/keeper/watch.rs
@@ -29,6 +29,7 @@
     let mut climbs = 0;
     let mut lost = false;
     while !held.released.get() {
+        let asked = held.asked.get();
         let hold = prepare(&shared, &held);
         let target = held.target.borrow().clone();
         let looking = shared.orders.hold(&target, hold);
@@ -55,6 +56,8 @@
                 }
                 drop(state);
                 shared.settle(&held, effects);
+                held.answered.set(asked);
+                held.looked.notify();
             }
             Err(Fault::Fenced) => {
                 let state = held.state.borrow();
@@ -99,7 +102,8 @@
     if until_ms.is_some() {
         state.grant(shared.config.lease);
     }
-    let wait = state.known && until_ms.is_some() && !doubtful;
+    let asked = held.asked.get() > held.answered.get();
+    let wait = state.known && until_ms.is_some() && !doubtful && !asked;
     Hold {
         fence: state.fence,
         until_ms,
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -50,7 +50,12 @@
     Run(Order),
     /// Take charge of a run that another owner started; the reply comes with
     /// its end, or at once if it is not on any target of the receiver.
-    Claim(Order),
+    Claim {
+        /// Run.
+        order: Order,
+        /// Tags of the targets where it may be.
+        tags: Vec<u32>,
+    },
     /// Stop a run for which the sender has no use any more.
     Cancel {
         /// Task.
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -217,12 +217,10 @@
                 let ending = keeper.run(order, Parting::Orphan).await;
                 Reply::Ended(ending, keeper.load())
             }),
-            Request::Claim(order) => Box::pin(async move {
-                match keeper.claim(order, Parting::Orphan).await {
-                    Some(ending) => Reply::Ended(ending, keeper.load()),
-                    None => Reply::Missing {
-                        settled: keeper.settled(),
-                    },
+            Request::Claim { order, tags } => Box::pin(async move {
+                match keeper.claim(order, tags, Parting::Orphan).await {
+                    Ok(ending) => Reply::Ended(ending, keeper.load()),
+                    Err(settled) => Reply::Missing { settled },
                 }
             }),
             Request::Cancel { task, run } => {
