Refuse orders that a cut held up, and admit jobs by the work ahead of them

Late answers: jobs were taken that could only come late. Ruled out: late orders at targets (none were in doubt). Change: an order carries the receiver's own clocks as its sender knows them; one older than 400 ms is turned down. Admission counts waiting work by priority against the goal; tasks give up waiting at three times the goal. Trouble of more than a third of an owner's targets shuts none of them out.

--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -32,10 +32,10 @@
 use crate::{
     Job, Resources, Target, Task,
     admission::{self, Outlook, Verdict},
-    handover::{self, Distance, Owner},
+    handover::{self, Distance, Need, Owner},
     keeper::{Keeper, Parting},
     member::{Fault, Peers, Reply, Request, Roster},
-    work::{Ending, Order, Reason},
+    work::{Ending, Order, Reason, Stamp},
 };
 
 /// Pause between two searches for a run whose owner was lost.
@@ -53,6 +53,10 @@
 /// Multiple of the goal after which an answer is worth nothing to its caller.
 const LATE_FACTOR: u32 = 3;
 
+/// Share of the goal within which a job must be expected to end to be taken, in
+/// percent.
+const ADMIT_PERCENT: u32 = 100;
+
 /// Run numbers that one task may use.
 const MAX_RUNS: u32 = 64;
 
@@ -312,13 +316,19 @@
         for step in submission.steps.iter().filter(|it| it.after.is_empty()) {
             run = run.max(step.estimate);
             for _ in 0..step.count {
-                let chosen = handover::choose(cores(step.resources), step.estimate, &mut owners);
+                let need = Need {
+                    cores: cores(step.resources),
+                    run: step.estimate,
+                    priority: submission.priority,
+                };
+                let chosen = handover::choose(need, &mut owners);
                 // Without any owner the job waits for one, within its limit.
                 let (_, expected) = chosen.unwrap_or((0, submission.deadline));
                 wait = wait.max(expected);
             }
         }
-        let mut limit = (submission.goal * LATE_FACTOR).min(submission.deadline);
+        let useful = submission.goal * ADMIT_PERCENT / 100;
+        let mut limit = useful.min(submission.deadline);
         if let Some(at) = self.close_at.get() {
             limit = limit.min(at - clock::now());
         }
@@ -418,7 +428,8 @@
     }
 
     fn order(&self, ticket: &Ticket<'_>, step: &Step, task: Task, run: u32) -> Order {
-        let patience = ticket.left().saturating_sub(step.estimate / 2);
+        let useful = (ticket.since + ticket.submission.goal * LATE_FACTOR) - clock::now();
+        let patience = ticket.left().min(useful).saturating_sub(step.estimate);
         Order {
             task,
             run,
@@ -433,6 +444,7 @@
             goal_ms: short(ticket.goal_left()),
             patience_ms: short(patience),
             tags: Rc::default(),
+            sent: Stamp::default(),
             front: self.config.address,
         }
     }
@@ -453,6 +465,7 @@
         }
         let order = &Order {
             tags: self.roster.held_by(owner).into(),
+            sent: self.roster.clocks_of(owner),
             ..order.clone()
         };
         let recall = Recall::new(self, owner, order);
@@ -590,8 +603,12 @@
 
     fn choose(&self, order: &Order) -> Option<SocketAddr> {
         let (mut owners, addresses) = self.owners();
-        let run = Duration::from_millis(order.estimate_ms.into());
-        let (index, _) = handover::choose(cores(order.resources), run, &mut owners)?;
+        let need = Need {
+            cores: cores(order.resources),
+            run: Duration::from_millis(order.estimate_ms.into()),
+            priority: order.priority,
+        };
+        let (index, _) = handover::choose(need, &mut owners)?;
         let address = addresses[index];
         if address != self.config.address {
             self.roster.note_load(address, owners[index].load.clone());
--- a/crates/fleet/src/keeper/held.rs
+++ b/crates/fleet/src/keeper/held.rs
@@ -181,13 +181,15 @@
     }
 
     /// True while tasks may be started there.
-    pub(super) fn is_open(&self, now: Instant) -> bool {
+    pub(super) fn is_open(&self) -> bool {
         let state = self.state.borrow();
-        state.known
-            && !self.released.get()
-            && !self.target.borrow().draining
-            && !state.trust.is_paused(now)
-            && (state.trust.is_sound() || state.runs.is_empty())
+        state.known && !self.released.get() && !self.target.borrow().draining
+    }
+
+    /// True while it has to wait, or to prove itself with a single task.
+    pub(super) fn is_paused(&self, now: Instant) -> bool {
+        let state = self.state.borrow();
+        state.trust.is_paused(now) || !state.trust.is_sound() && !state.runs.is_empty()
     }
 }
 
--- a/crates/fleet/src/keeper/mod.rs
+++ b/crates/fleet/src/keeper/mod.rs
@@ -44,6 +44,9 @@
 /// Longest such time.
 const MAX_YIELD: Duration = Duration::from_secs(8);
 
+/// Part of an owner's targets that may be shut out after trouble: one in so many.
+const MAX_PAUSED: usize = 3;
+
 /// Time without a tick after which a process counts as having stood still.
 const STALL: Duration = Duration::from_millis(250);
 
@@ -264,18 +267,16 @@
 
     /// Load to tell the other instances.
     pub fn load(&self) -> Load {
-        let now = clock::now();
         let mut load = Load::default();
-        for held in self.0.held.borrow().values() {
-            if !held.is_open(now) {
-                continue;
-            }
+        for held in self.0.open() {
             load.cores += held.target.borrow().capacity.cpu / MILLICORES;
             let free = held.free().cpu / MILLICORES;
             load.holes.push(u16::try_from(free).unwrap_or(u16::MAX));
         }
         let queue = self.0.queue.borrow();
-        load.waiting = queue.iter().map(|(_, it)| core_ms(&it.order)).sum();
+        for (place, waiting) in queue.iter() {
+            load.add_waiting(place.priority, core_ms(&waiting.order));
+        }
         load
     }
 
@@ -467,14 +468,27 @@
         }
     }
 
+    /// Targets on which tasks may be started.
+    ///
+    /// Where too many are in trouble, the trouble is not theirs.
+    fn open(&self) -> Vec<Rc<Held>> {
+        let now = clock::now();
+        let held = self.held.borrow();
+        let open: Vec<_> = held.values().filter(|it| it.is_open()).cloned().collect();
+        let paused = open.iter().filter(|it| it.is_paused(now)).count();
+        if paused * MAX_PAUSED > open.len() {
+            return open;
+        }
+        open.into_iter().filter(|it| !it.is_paused(now)).collect()
+    }
+
     fn next(&self) -> Option<(Place, Rc<Held>)> {
         let queue = self.queue.borrow();
         if queue.is_empty() {
             return None;
         }
         let now = clock::now();
-        let held = self.held.borrow();
-        let open: Vec<_> = held.values().filter(|it| it.is_open(now)).collect();
+        let open = self.open();
         let rooms: Vec<_> = open.iter().map(|it| it.free()).collect();
         queue.first().find_map(|(place, waiting)| {
             let order = &waiting.order;
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -15,7 +15,7 @@
 use crate::{
     Task,
     ownership::{self, Candidate},
-    work::{Ending, Load, Order},
+    work::{Ending, Load, Order, Stamp},
 };
 
 /// What one instance tells the others.
@@ -25,6 +25,8 @@
     pub name: Rc<str>,
     /// Start of its process in wall time, which tells its lives apart.
     pub incarnation: u64,
+    /// Its clocks at the time of sending.
+    pub clocks: Stamp,
     /// Rising number within the incarnation.
     pub sequence: u64,
     /// Failure domain.
@@ -244,6 +246,14 @@
         alive.map(|it| it.beacon.clone()).collect()
     }
 
+    /// Clocks of the peer at `address` now, as far as is known.
+    pub fn clocks_of(&self, address: SocketAddr) -> Stamp {
+        let peers = self.peers.borrow();
+        let peer = peers.values().find(|it| it.beacon.address == address);
+        let reading = peer.map(|it| it.beacon.clocks.after(clock::now() - it.heard));
+        reading.unwrap_or_default()
+    }
+
     /// Tags of the targets that the peer at `address` holds.
     pub fn held_by(&self, address: SocketAddr) -> Vec<u32> {
         let peers = self.peers.borrow();
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -25,6 +25,7 @@
     member::{self, Beacon, Change, Peers, Reply, Request, Roster},
     orders::Orders,
     ownership::Candidate,
+    work::{Ending, Reason, Stamp},
 };
 
 /// Time between two passes over waiting work and silent peers.
@@ -33,6 +34,10 @@
 /// Beacons to one's own failure domain for one to another.
 const FAR_BEACONS: u64 = 2;
 
+/// Longest way of an order between instances; less than the silence after
+/// which a front takes an owner for gone.
+const TRANSIT: Duration = Duration::from_millis(400);
+
 /// Reads a configuration document.
 pub type Decode = fn(&str) -> Result<Queues, String>;
 
@@ -213,6 +218,12 @@
     pub fn handle(&self, request: Request) -> LocalFuture<'static, Reply> {
         let keeper = self.keeper.clone();
         match request {
+            // Its front has long given it up and may have begun it elsewhere.
+            Request::Run(order) if order.sent.is_older_than(TRANSIT) => {
+                info!(self.log, "order came too late"; "task" => %order.task, "run" => order.run);
+                let ending = Ending::NotStarted(Reason::Leaving);
+                Box::pin(async move { Reply::Ended(ending, keeper.load()) })
+            }
             Request::Run(order) => Box::pin(async move {
                 let ending = keeper.run(order, Parting::Orphan).await;
                 Reply::Ended(ending, keeper.load())
@@ -305,6 +316,7 @@
         let beacon = Beacon {
             name: self.config.name.clone(),
             incarnation: self.incarnation,
+            clocks: Stamp::now(),
             sequence,
             domain: self.config.domain.clone(),
             address: self.config.address,
--- a/crates/fleet/src/work.rs
+++ b/crates/fleet/src/work.rs
@@ -1,11 +1,49 @@
 //! Work that a front hands to the owner of a target.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
+use bluebellpath_runtime::clock;
 use serde::{Deserialize, Serialize};
 
 use crate::{Resources, Task};
 
+/// Reading of an instance's clocks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stamp {
+    /// Monotonic time in milliseconds, which stands still while a machine is
+    /// suspended.
+    pub monotonic_ms: u64,
+    /// Wall time in milliseconds, which may be set.
+    pub wall_ms: u64,
+}
+
+impl Stamp {
+    /// Reading of this instance's clocks now.
+    pub fn now() -> Stamp {
+        Stamp {
+            monotonic_ms: clock::now().as_nanos() / 1_000_000,
+            wall_ms: clock::wall(),
+        }
+    }
+
+    /// Reading expected `elapsed` later.
+    pub fn after(self, elapsed: Duration) -> Stamp {
+        let elapsed = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+        Stamp {
+            monotonic_ms: self.monotonic_ms.saturating_add(elapsed),
+            wall_ms: self.wall_ms.saturating_add(elapsed),
+        }
+    }
+
+    /// True when `limit` has passed since, on one of the clocks.
+    pub fn is_older_than(self, limit: Duration) -> bool {
+        let now = Stamp::now();
+        let limit = u64::try_from(limit.as_millis()).unwrap_or(u64::MAX);
+        now.monotonic_ms.saturating_sub(self.monotonic_ms) > limit
+            || now.wall_ms.saturating_sub(self.wall_ms) > limit
+    }
+}
+
 /// One run of a task, with what its owner needs to place it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Order {
@@ -36,6 +74,8 @@
     /// Tags of the targets on which it may run, any where there are none. Its
     /// front knows then where to look for it when its owner is lost.
     pub tags: Rc<[u32]>,
+    /// Time of its sending on the owner's own clocks, as its front knows them.
+    pub sent: Stamp,
     /// Address of the front's own listener, which shows whose work it is.
     pub front: SocketAddr,
 }
@@ -83,6 +123,23 @@
     Leaving,
 }
 
+impl Load {
+    /// Work that goes before or beside a task of `priority`, in
+    /// core-milliseconds.
+    pub fn ahead_of(&self, priority: u8) -> u64 {
+        let ahead = self.waiting.iter().filter(|it| it.0 <= priority);
+        ahead.map(|it| it.1).sum()
+    }
+
+    /// Adds work of `priority`, in core-milliseconds.
+    pub fn add_waiting(&mut self, priority: u8, work: u64) {
+        match self.waiting.iter_mut().find(|it| it.0 == priority) {
+            Some(waiting) => waiting.1 = waiting.1.saturating_add(work),
+            None => self.waiting.push((priority, work)),
+        }
+    }
+}
+
 /// Load of an instance's own targets.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
@@ -90,6 +147,6 @@
     pub holes: Vec<u16>,
     /// Processor of all owned targets that take work, in cores.
     pub cores: u32,
-    /// Work that waits, in core-milliseconds.
-    pub waiting: u64,
+    /// Work that waits in core-milliseconds, by priority.
+    pub waiting: Vec<(u8, u64)>,
 }
--- a/crates/standin/src/mesh.rs
+++ b/crates/standin/src/mesh.rs
@@ -18,8 +18,11 @@
 /// One way between two instances.
 const WAY: Duration = Duration::from_micros(500);
 
-/// Time after which a call over a cut fails.
-const CUT_ANSWER: Duration = Duration::from_secs(1);
+/// Time between two tries of what a cut holds up.
+const RESEND: Duration = Duration::from_millis(200);
+
+/// Longest time for which a connection over a cut lives.
+const HELD_UP: Duration = Duration::from_secs(20);
 
 /// Instances that reach each other.
 #[derive(Clone, Default)]
@@ -74,8 +77,26 @@
         self.0.calls.get()
     }
 
+    fn is_cut(&self, from: SocketAddr, to: SocketAddr) -> bool {
+        self.0.cuts.borrow().contains(&(from, to))
+    }
+
+    /// Delivers a request after the cut, as a connection that outlives it does.
+    fn hold_up(&self, from: SocketAddr, to: SocketAddr, request: Request) {
+        let mesh = self.clone();
+        drop(Scope::new().spawn(async move {
+            let end = clock::now() + HELD_UP;
+            while mesh.is_cut(from, to) && clock::now() < end {
+                clock::sleep(RESEND).await;
+            }
+            if let Some((node, scope)) = mesh.peer(from, to) {
+                drop(scope.spawn(async move { node.handle(request).await }));
+            }
+        }));
+    }
+
     fn peer(&self, from: SocketAddr, to: SocketAddr) -> Option<(Rc<Node>, Scope)> {
-        if self.0.cuts.borrow().contains(&(from, to)) {
+        if self.is_cut(from, to) {
             return None;
         }
         let peer = self.0.nodes.borrow().get(&to).cloned();
@@ -99,8 +120,12 @@
         mesh.0.calls.set(mesh.0.calls.get() + 1);
         Box::pin(async move {
             clock::sleep(WAY).await;
+            if mesh.is_cut(own, to) {
+                mesh.hold_up(own, to, request);
+                clock::sleep(HELD_UP).await;
+                return Err(Fault::Unknown);
+            }
             let Some((node, scope)) = mesh.peer(own, to) else {
-                clock::sleep(CUT_ANSWER).await;
                 return Err(Fault::NotSent);
             };
             let reset = mesh.0.reset.notified();
@@ -123,7 +148,7 @@
                 Either::Right(_) => None,
             };
             clock::sleep(WAY).await;
-            let cut = mesh.0.cuts.borrow().contains(&(to, own));
+            let cut = mesh.is_cut(to, own);
             match reply {
                 Some(reply) if !cut => Ok(reply),
                 _ => Err(Fault::Unknown),
