--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -505,7 +505,7 @@
             ..order.clone()
         };
         let since = clock::now();
-        if let Some(ending) = self.census(order, tags, since + self.config.orphan).await {
+        if let Some(ending) = self.census(order, tags).await {
             return ending;
         }
         info!(self.log, "run not found again"; "task" => %order.task, "run" => order.run,
@@ -514,11 +514,12 @@
     }
 
     /// Asks all owners for a run, again and again, until one has its end; `None`
-    /// once it is nowhere, or could not be found until `end`.
+    /// once it is nowhere, or could not be found in [`Config::orphan`].
     ///
     /// An owner that takes charge of the run answers only with its end, and one
     /// that is gone never does; neither holds up the others.
-    async fn census(self: &Rc<Self>, order: &Order, tags: &[u32], end: Instant) -> Option<Ending> {
+    async fn census(self: &Rc<Self>, order: &Order, tags: &[u32]) -> Option<Ending> {
+        let mut end = clock::now() + self.config.orphan;
         let mut settled: Vec<u32> = Vec::new();
         let mut denied = BTreeSet::new();
         let mut claims = Claims::new();
@@ -527,9 +528,15 @@
             let round = clock::now() + SEARCH_PAUSE;
             while let Some(Some((owner, claimed))) = clock::timeout_at(round, claims.next()).await {
                 match claimed {
-                    Claimed::Ended(Ending::Moved { .. } | Ending::Superseded) | Claimed::Silent => {
+                    Claimed::Silent => {
                         denied.remove(&owner);
                     }
+                    Claimed::Ended(Ending::Moved { .. } | Ending::Superseded) => {
+                        // It was there until now, so the search begins anew.
+                        denied.clear();
+                        settled.clear();
+                        end = clock::now() + self.config.orphan;
+                    }
                     Claimed::Ended(ending) => return Some(ending),
                     Claimed::Missing(there) => {
                         denied.insert(owner);
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -337,7 +337,7 @@
             far.map(|it| it.address).collect()
         };
         for address in self.roster.addresses() {
-            let due = sequence % FAR_BEACONS == 0 || !far.contains(&address);
+            let due = sequence.is_multiple_of(FAR_BEACONS) || !far.contains(&address);
             if address != self.config.address && due {
                 self.peers.beacon(address, &beacon);
             }
--- a/crates/fleet/tests/sessions/main.rs
+++ b/crates/fleet/tests/sessions/main.rs
@@ -293,3 +293,28 @@
         assert_eq!(system.runs(1), 2, "one for each attempt");
     });
 }
+
+#[test]
+fn a_run_that_moves_twice_is_not_given_up() {
+    // Its second owner leaves later than the search for it began.
+    runtime::paused(async {
+        let system = System::start(SMALL).await;
+        let work = Work {
+            run_ms: 4_000,
+            ..Work::default()
+        };
+        system.submit(0, work);
+        wait(300).await;
+        system.instances[0].node.leave();
+        wait(2_000).await;
+        // The next owners are a while in reaching the targets.
+        system.yard.cut("domain-1", "domain-0", true);
+        system.instances[1].node.leave();
+        wait(300).await;
+        system.yard.cut("domain-1", "domain-0", false);
+        wait(8_000).await;
+        assert_eq!(system.answer(1), Some(Answer::Completed));
+        assert_eq!(system.runs(1), 4);
+        system.check();
+    });
+}
