Raise a token for a doubt without passing another owner's

Ruled out: refusals by the target, which do nothing. Change: tokens count raises in bits below the instance, so that a raise stays below every later owner's token; an owner that was obeyed once yields when fenced off, and climbs no more.

--- a/crates/fleet/src/fence.rs
+++ b/crates/fleet/src/fence.rs
@@ -1,15 +1,29 @@
 /*!
 Fencing tokens.
 
-A token holds wall time in its high bits and the instance in its low ones, so
-that tokens of different instances never meet and a later owner's token is the
-higher one without any agreement. Where clocks disagree, an owner that is
-refused climbs past the unknown token in growing steps, for that target alone:
-a token far ahead of the clock makes the next owner climb too.
+A token holds wall time in its high bits, then the instance, then a count of
+raises, so that tokens of different instances never meet and a later owner's
+token is the higher one without any agreement. Where clocks disagree, an owner
+that is refused climbs past the unknown token in growing steps, for that target
+alone: a token far ahead of the clock makes the next owner climb too.
+
+An owner raises its own token to void a start that got no answer. A raise stays
+below every token that another owner may have used since, so it never takes a
+target back from one unawares.
 */
 
+/// Wall time at which tokens begin, in milliseconds: 2025-01-01. Tokens stay
+/// below 2^53, which every reader of JSON keeps exact, for 17 years from then.
+const EPOCH_MS: u64 = 1_735_689_600_000;
+
 /// Bits that tell instances apart.
-const INSTANCE_BITS: u32 = 12;
+const INSTANCE_BITS: u32 = 10;
+
+/// Bits that count raises.
+const RAISE_BITS: u32 = 4;
+
+/// Bits below the wall time.
+const LOW_BITS: u32 = INSTANCE_BITS + RAISE_BITS;
 
 /// Source of one instance's fencing tokens.
 #[derive(Clone, Copy, Debug)]
@@ -31,14 +45,18 @@
         }
     }
 
-    /// Token at the wall time `wall_ms`, above the token `above`.
-    pub fn next(self, wall_ms: u64, above: u64) -> u64 {
-        let least_ms = (above >> INSTANCE_BITS) + 1;
-        (wall_ms.max(least_ms) << INSTANCE_BITS) | self.instance
+    /// Token for a new hold at the wall time `wall_ms`, at least `ahead_ms`
+    /// above the token `above`.
+    pub fn next(self, wall_ms: u64, above: u64, ahead_ms: u64) -> u64 {
+        let least_ms = (above >> LOW_BITS) + ahead_ms;
+        let time = wall_ms.saturating_sub(EPOCH_MS).max(least_ms);
+        (time << LOW_BITS) | (self.instance << RAISE_BITS)
     }
+}
 
-    /// Token at least `ahead_ms` of wall time above the token `above`.
-    pub fn climb(self, wall_ms: u64, above: u64, ahead_ms: u64) -> u64 {
-        self.next(wall_ms, above.saturating_add(ahead_ms << INSTANCE_BITS))
-    }
+/// Token that voids orders under `token` and is below those of later owners;
+/// `None` once it can't be raised any more.
+pub fn raise(token: u64) -> Option<u64> {
+    let raised = token + 1;
+    (raised >> RAISE_BITS == token >> RAISE_BITS).then_some(raised)
 }
--- a/crates/fleet/src/keeper/held.rs
+++ b/crates/fleet/src/keeper/held.rs
@@ -104,6 +104,8 @@
     pub(super) fence: u64,
     /// True while what runs there is known.
     pub(super) known: bool,
+    /// True once the target has obeyed this owner.
+    pub(super) taken: bool,
     clock: Option<(u64, Instant)>,
     /// Time after which nothing can run there under the leases granted.
     pub(super) lease_end: Instant,
@@ -126,6 +128,7 @@
             state: RefCell::new(State {
                 fence,
                 known: false,
+                taken: false,
                 clock: None,
                 lease_end: now,
                 seen: 0,
@@ -302,6 +305,7 @@
             }
         }
         self.known = true;
+        self.taken = true;
         effects
     }
 
--- a/crates/fleet/src/keeper/mod.rs
+++ b/crates/fleet/src/keeper/mod.rs
@@ -379,7 +379,7 @@
     }
 
     fn take(self: &Rc<Self>, target: Target) {
-        let fence = self.fences.next(clock::wall(), 0);
+        let fence = self.fences.next(clock::wall(), 0, 0);
         info!(self.log, "taking over target"; "target" => %target.id, "fence" => fence,
             "domain" => %target.domain);
         let id = target.id.clone();
--- a/crates/fleet/src/keeper/watch.rs
+++ b/crates/fleet/src/keeper/watch.rs
@@ -16,7 +16,10 @@
     Shared,
     held::{Held, Phase, millis},
 };
-use crate::orders::{Fault, Hold};
+use crate::{
+    fence,
+    orders::{Fault, Hold},
+};
 
 /// Pause after a look that failed.
 const RETRY_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
@@ -33,7 +36,11 @@
     let mut lost = false;
     while !held.released.get() {
         let asked = held.asked.get();
-        let hold = prepare(&shared, &held);
+        let Some(hold) = prepare(&shared, &held) else {
+            // A later hold of the same target begins with a fresh token.
+            shared.release(&held, "its token can't be raised any more");
+            return;
+        };
         let target = held.target.borrow().clone();
         let looking = shared.orders.hold(&target, hold);
         let answer = match select(looking, std::pin::pin!(held.urgent.notified())).await {
@@ -63,20 +70,20 @@
             }
             Err(Fault::Fenced) => {
                 let state = held.state.borrow();
-                let (current, settled) = (state.fence == hold.fence, state.known);
+                let (current, taken) = (state.fence == hold.fence, state.taken);
                 drop(state);
                 if !current {
                     continue;
                 }
-                if settled || climbs >= MAX_CLIMBS {
+                if taken || climbs >= MAX_CLIMBS {
                     shared.yield_to_other(&held);
                     return;
                 }
-                // Not known yet: another instance's clock may be ahead.
+                // Not taken yet: another instance's clock may be ahead.
                 let ahead = FIRST_CLIMB_MS << climbs;
                 climbs += 1;
                 let mut state = held.state.borrow_mut();
-                state.fence = shared.fences.climb(clock::wall(), state.fence, ahead);
+                state.fence = shared.fences.next(clock::wall(), state.fence, ahead);
             }
             Err(fault) => {
                 if !std::mem::replace(&mut lost, true) {
@@ -91,7 +98,7 @@
 }
 
 /// Next look, under a higher token where a start is in doubt.
-fn prepare(shared: &Rc<Shared>, held: &Rc<Held>) -> Hold {
+fn prepare(shared: &Rc<Shared>, held: &Rc<Held>) -> Option<Hold> {
     let mut state = held.state.borrow_mut();
     let fence = state.fence;
     let doubtful = state.runs.values().any(|it| {
@@ -99,10 +106,8 @@
         open && it.started_ms.is_none() && it.fence >= fence
     });
     if doubtful {
-        // The higher token may pass one of another owner, whose starts are not
-        // known here before the answer.
         state.known = false;
-        state.fence = shared.fences.next(clock::wall(), fence);
+        state.fence = fence::raise(fence)?;
     }
     // A target that does not answer gets no new lease, so that the last one ends.
     let until_ms = match state.known {
@@ -114,12 +119,12 @@
     }
     let asked = held.asked.get() > held.answered.get();
     let wait = state.known && until_ms.is_some() && !doubtful && !asked;
-    Hold {
+    Some(Hold {
         fence: state.fence,
         until_ms,
         seen_upto: state.seen,
         wait_ms: if wait { millis(shared.config.poll) } else { 0 },
-    }
+    })
 }
 
 /// Notes that a look got no answer; once the lease is over nothing runs there.
@@ -134,8 +139,9 @@
     if starting {
         return;
     }
-    // Orders that were delayed on the way must not take effect any more.
-    state.fence = shared.fences.next(clock::wall(), state.fence);
+    // Orders that were delayed on the way must not take effect any more. Where
+    // the token can't be raised, it is too late for them under the old one.
+    state.fence = fence::raise(state.fence).unwrap_or(state.fence);
     let effects = state.drop_all();
     drop(state);
     shared.settle(held, effects);
--- a/crates/fleet/tests/sessions/main.rs
+++ b/crates/fleet/tests/sessions/main.rs
@@ -318,3 +318,40 @@
         system.check();
     });
 }
+
+#[test]
+fn a_start_in_doubt_is_not_voided_behind_another_owner() {
+    // The answer to a start is lost, and before that is noticed another owner
+    // takes the target over, sees the run end and lets the target forget it.
+    for offset in (180..300).step_by(10) {
+        runtime::paused(async move {
+            let mut system = System::start(SMALL).await;
+            system.kill(1);
+            wait(1_500).await;
+            for id in system.yard.list().keys() {
+                system.yard.set_mishap(id, Mishap::Mute);
+            }
+            let work = Work {
+                tasks: 8,
+                run_ms: 20,
+                ..Work::default()
+            };
+            system.submit(0, work);
+            wait(offset).await;
+            system.add(1, 0);
+            wait(40).await;
+            for id in system.yard.list().keys() {
+                system.yard.set_mishap(id, Mishap::None);
+            }
+            wait(9_000).await;
+            let twice: Vec<_> = system
+                .yard
+                .started()
+                .into_iter()
+                .filter(|it| it.1 > 1)
+                .collect();
+            assert!(twice.is_empty(), "offset {offset}: {twice:?}");
+            system.check();
+        });
+    }
+}
--- a/crates/standin/src/yard.rs
+++ b/crates/standin/src/yard.rs
@@ -37,7 +37,7 @@
     None,
     /// Starts get no answer and are carried out after this time.
     Late(Duration),
-    /// Starts are carried out, and their answers are lost.
+    /// Orders are carried out, and their answers are lost.
     Mute,
     /// It answers nobody, and what runs there goes on.
     Dark,
@@ -395,6 +395,10 @@
                 clock::timeout(wait, state.changed.notified()).await;
                 state.advance();
             }
+            if state.mishap.get() == Mishap::Mute {
+                clock::sleep(ANSWER).await;
+                return Err(Fault::Unknown);
+            }
             let listing = state.listing();
             clock::sleep(WAY).await;
             Ok(listing)
