--- a/crates/bluebellpath/src/http/server.rs
+++ b/crates/bluebellpath/src/http/server.rs
@@ -217,11 +217,13 @@
     if !shared.service.ends_with_caller() {
         return Some(call.await);
     }
-    match select(call, std::pin::pin!(reader.wait())).await {
-        Either::Left((response, _)) => Some(response),
+    // The connection is looked at first: a caller that has left while this
+    // process stood still starts nothing any more.
+    match select(std::pin::pin!(reader.wait()), call).await {
         // The next request is here already; its caller waits for this answer.
-        Either::Right((Ok(true), call)) => Some(call.await),
-        Either::Right((Ok(false) | Err(_), _)) => None,
+        Either::Left((Ok(true), call)) => Some(call.await),
+        Either::Left((Ok(false) | Err(_), _)) => None,
+        Either::Right((response, _)) => Some(response),
     }
 }
 
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -24,7 +24,7 @@
 use bluebellpath_runtime::{Instant, LocalFuture, Notify, clock, spawn};
 use futures_util::{
     StreamExt,
-    future::{Either, select},
+    future::{Either, join_all, select},
     stream::FuturesUnordered,
 };
 use slog::{Logger, info};
@@ -34,7 +34,7 @@
     admission::{self, Outlook, Verdict},
     handover::{self, Distance, Need, Owner},
     keeper::{Keeper, Parting},
-    member::{Fault, Peers, Reply, Request, Roster},
+    member::{Beacon, Fault, Peers, Reply, Request, Roster},
     work::{Ending, Order, Reason, Stamp},
 };
 
@@ -47,6 +47,17 @@
 /// Longest wait for the owners of a job that is taken back; a stop takes less.
 const RECALL_WAIT: Duration = Duration::from_millis(400);
 
+/// Time for which it is remembered that a job began; callers send again within
+/// two seconds, and a front that stood still is back within some more.
+const REMEMBERED: Duration = Duration::from_secs(20);
+
+/// Time for which a job that is refused elsewhere may not begin; less than the
+/// shortest time after which its caller is asked back.
+const DENIED: Duration = Duration::from_millis(900);
+
+/// Longest wait for the other fronts before a refusal.
+const DENY_WAIT: Duration = Duration::from_millis(60);
+
 /// Time for which a peer whose call failed gets no new work.
 const PEER_PAUSE: Duration = Duration::from_millis(300);
 
@@ -155,6 +166,10 @@
     peers: Rc<dyn Peers>,
     log: Logger,
     jobs: RefCell<HashMap<Job, Rc<str>>>,
+    /// Jobs of which something may have run, until they are forgotten.
+    begun: RefCell<HashMap<Job, Instant>>,
+    /// Jobs that another front refuses, until they may come again.
+    denied: RefCell<HashMap<Job, Instant>>,
     failing: RefCell<BTreeMap<SocketAddr, Instant>>,
     counts: Cell<Counts>,
     /// Time by which every job must be answered, once the instance stops.
@@ -186,6 +201,8 @@
             peers,
             log,
             jobs: RefCell::default(),
+            begun: RefCell::default(),
+            denied: RefCell::default(),
             failing: RefCell::default(),
             counts: Cell::default(),
             close_at: Cell::default(),
@@ -203,6 +220,25 @@
         self.0.counts.get()
     }
 
+    /// Keeps a job from running here; false where something of it may have run.
+    pub fn deny(&self, job: Job) -> bool {
+        let shared = &self.0;
+        let here = shared.jobs.borrow().contains_key(&job);
+        if here || shared.begun.borrow().contains_key(&job) {
+            return false;
+        }
+        let until = clock::now() + DENIED;
+        shared.denied.borrow_mut().insert(job, until);
+        true
+    }
+
+    /// Forgets what is too old to matter; to be called several times a second.
+    pub fn tick(&self) {
+        let now = clock::now();
+        self.0.begun.borrow_mut().retain(|_, until| now < *until);
+        self.0.denied.borrow_mut().retain(|_, until| now < *until);
+    }
+
     /// Answers every job by `at`; refuses those that can't be done by then.
     pub fn close(&self, at: Instant) {
         self.0.close_at.set(Some(at));
@@ -218,8 +254,17 @@
             info!(shared.log, "job is in progress already"; "job" => %job);
             return Answer::Unknown;
         }
-        let _open = Open::new(shared, job, submission.service.clone());
-        let answer = shared.serve(&submission, since).await;
+        if shared.denied.borrow().contains_key(&job) {
+            info!(shared.log, "job refused elsewhere just now"; "job" => %job);
+            return Answer::Refused(submission.goal);
+        }
+        let open = Open::new(shared, job, submission.service.clone());
+        let mut answer = shared.serve(&submission, since).await;
+        drop(open);
+        if matches!(answer, Answer::Refused(_)) && !shared.deny_elsewhere(job).await {
+            info!(shared.log, "job has begun elsewhere"; "job" => %job);
+            answer = Answer::Unknown;
+        }
         shared.count(|it| match answer {
             Answer::Completed => it.completed += 1,
             Answer::Failed => it.failed += 1,
@@ -284,6 +329,28 @@
         self.counts.set(counts);
     }
 
+    /// Keeps a job that is refused here from running at the other fronts that
+    /// its caller reaches; false where something of it may have run.
+    ///
+    /// A caller whose connection broke sends its job again, and the front that
+    /// had it first may still be at it.
+    async fn deny_elsewhere(&self, job: Job) -> bool {
+        if self.begun.borrow().contains_key(&job) {
+            return false;
+        }
+        let alive = self.roster.alive();
+        let near = |it: &&Beacon| it.domain == self.config.domain;
+        let asked: Vec<&Beacon> = match alive.iter().any(|it| near(&it)) {
+            true => alive.iter().filter(near).collect(),
+            false => alive.iter().collect(),
+        };
+        let asked = asked
+            .iter()
+            .map(|it| self.peers.call(it.address, Request::Deny(job)));
+        let answers = clock::timeout(DENY_WAIT, join_all(asked)).await;
+        answers.is_some_and(|it| it.iter().all(|it| matches!(it, Ok(Reply::Accepted))))
+    }
+
     async fn serve(self: &Rc<Self>, submission: &Submission, since: Instant) -> Answer {
         if let Verdict::Refuse(retry) = self.admit(submission) {
             return Answer::Refused(retry);
@@ -305,7 +372,7 @@
         match select(pin!(steps), pin!(closed)).await {
             Either::Left((Some(answer), _)) => answer,
             Either::Left((None, _)) => Answer::Unknown,
-            Either::Right(_) => give_up(&self.log, &ticket, Reason::Leaving),
+            Either::Right(_) => give_up(&self.log, &self.begun, &ticket, Reason::Leaving),
         }
     }
 
@@ -369,7 +436,7 @@
                     self.recall(ticket);
                     let others = async { while tasks.next().await.is_some() {} };
                     clock::timeout(RECALL_WAIT, others).await;
-                    return give_up(&self.log, ticket, reason);
+                    return give_up(&self.log, &self.begun, ticket, reason);
                 }
             }
         }
@@ -449,6 +516,12 @@
         }
     }
 
+    /// Remembers that something of a job may run from now on.
+    fn begin(&self, job: Job) {
+        let until = clock::now() + REMEMBERED;
+        self.begun.borrow_mut().insert(job, until);
+    }
+
     /// Hands a run to an owner and waits for its end.
     async fn hand_over(self: &Rc<Self>, ticket: &Ticket<'_>, order: &Order) -> Whereabouts {
         let Some(owner) = self.choose(order) else {
@@ -459,6 +532,7 @@
             .out
             .borrow_mut()
             .insert((order.task, order.run), owner);
+        self.begin(order.task.job);
         if owner == self.config.address {
             let ending = self.keeper.run(order.clone(), Parting::Stop).await;
             return settled(ending, self.keeper.tags());
@@ -649,14 +723,22 @@
 }
 
 /// Answer to a job that can't be served any more.
-fn give_up(log: &Logger, ticket: &Ticket<'_>, reason: Reason) -> Answer {
+fn give_up(
+    log: &Logger,
+    memory: &RefCell<HashMap<Job, Instant>>,
+    ticket: &Ticket<'_>,
+    reason: Reason,
+) -> Answer {
     // A run without an answer may have started.
     let begun = ticket.begun.get() || !ticket.out.borrow().is_empty();
     info!(log, "job given up"; "job" => %ticket.submission.job, "cause" => %reason,
         "begun" => begun);
     match begun {
         true => Answer::Unknown,
-        false => Answer::Refused(ticket.submission.goal),
+        false => {
+            memory.borrow_mut().remove(&ticket.submission.job);
+            Answer::Refused(ticket.submission.goal)
+        }
     }
 }
 
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Task,
+    Job, Task,
     ownership::{self, Candidate},
     work::{Ending, Load, Order, Stamp},
 };
@@ -65,6 +65,9 @@
         /// Run.
         run: u32,
     },
+    /// Say whether something of a job may have run, and else keep it from
+    /// running for a while: it is about to be refused.
+    Deny(Job),
     /// Send the configuration document after this version.
     Config {
         /// Newest version that the sender knows.
@@ -84,6 +87,8 @@
     },
     /// Done.
     Accepted,
+    /// Something of the job may have run.
+    Begun,
     /// Configuration document, as the operator wrote it.
     Config(Option<String>),
 }
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -168,6 +168,7 @@
                 let changes = node.roster.sweep();
                 node.note(changes);
                 node.keeper.tick();
+                node.front.tick();
             }
         }));
     }
@@ -238,6 +239,13 @@
                 keeper.cancel(task, run);
                 Box::pin(async { Reply::Accepted })
             }
+            Request::Deny(job) => {
+                let reply = match self.front.deny(job) {
+                    true => Reply::Accepted,
+                    false => Reply::Begun,
+                };
+                Box::pin(async move { reply })
+            }
             Request::Config { after } => {
                 let queues = self.queues();
                 let document = (queues.version > after).then(|| queues.document.to_string());
--- a/crates/fleet/tests/sessions/main.rs
+++ b/crates/fleet/tests/sessions/main.rs
@@ -355,3 +355,27 @@
         });
     }
 }
+
+#[test]
+fn a_job_that_another_front_has_begun_is_not_called_not_run() {
+    // Its caller's connection broke, and it sends the job to another front,
+    // which has no room for it.
+    runtime::paused(async {
+        let system = System::start(SMALL).await;
+        let work = Work {
+            tasks: 1,
+            run_ms: 1_000,
+            ..Work::default()
+        };
+        system.submit(0, work);
+        wait(100).await;
+        system.answers.borrow_mut().clear();
+        let hopeless = Work {
+            deadline_ms: 100,
+            ..work
+        };
+        system.submit(1, hopeless);
+        wait(200).await;
+        assert_eq!(system.answer(1), Some(Answer::Unknown));
+    });
+}
