--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -115,6 +115,8 @@
     pub spec: Rc<str>,
     /// Steps.
     pub steps: Vec<Step>,
+    /// Queue that took it.
+    pub queue: Rc<str>,
     /// Service whose targets may run it.
     pub service: Rc<str>,
     /// Priority, 0 first.
@@ -140,21 +142,6 @@
     Unknown,
 }
 
-/// Counts of answers since the start.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Counts {
-    /// Jobs completed.
-    pub completed: u64,
-    /// Jobs failed.
-    pub failed: u64,
-    /// Jobs refused.
-    pub refused: u64,
-    /// Jobs given up.
-    pub unknown: u64,
-    /// Jobs whose caller left.
-    pub left: u64,
-}
-
 /// Takes jobs.
 #[derive(Clone)]
 pub struct Front(Rc<Shared>);
@@ -165,13 +152,13 @@
     roster: Rc<Roster>,
     peers: Rc<dyn Peers>,
     log: Logger,
+    /// Jobs in progress, with their queues.
     jobs: RefCell<HashMap<Job, Rc<str>>>,
     /// Jobs of which something may have run, until they are forgotten.
     begun: RefCell<HashMap<Job, Instant>>,
     /// Jobs that another front refuses, until they may come again.
     denied: RefCell<HashMap<Job, Instant>>,
     failing: RefCell<BTreeMap<SocketAddr, Instant>>,
-    counts: Cell<Counts>,
     /// Time by which every job must be answered, once the instance stops.
     close_at: Cell<Option<Instant>>,
     closing: Notify,
@@ -204,7 +191,6 @@
             begun: RefCell::default(),
             denied: RefCell::default(),
             failing: RefCell::default(),
-            counts: Cell::default(),
             close_at: Cell::default(),
             closing: Notify::new(),
         }))
@@ -215,9 +201,12 @@
         self.0.jobs.borrow().len()
     }
 
-    /// Jobs of a service's queue of which no task has started.
-    pub fn counts(&self) -> Counts {
-        self.0.counts.get()
+    /// Jobs of a queue of which nothing has been handed to an owner.
+    pub fn waiting(&self, queue: &str) -> usize {
+        let begun = self.0.begun.borrow();
+        let jobs = self.0.jobs.borrow();
+        let waits = |it: &(&Job, &Rc<str>)| **it.1 == *queue && !begun.contains_key(it.0);
+        jobs.iter().filter(waits).count()
     }
 
     /// Keeps a job from running here; false where something of it may have run.
@@ -258,19 +247,13 @@
             info!(shared.log, "job refused elsewhere just now"; "job" => %job);
             return Answer::Refused(submission.goal);
         }
-        let open = Open::new(shared, job, submission.service.clone());
+        let open = Open::new(shared, job, submission.queue.clone());
         let mut answer = shared.serve(&submission, since).await;
         drop(open);
         if matches!(answer, Answer::Refused(_)) && !shared.deny_elsewhere(job).await {
             info!(shared.log, "job has begun elsewhere"; "job" => %job);
             answer = Answer::Unknown;
         }
-        shared.count(|it| match answer {
-            Answer::Completed => it.completed += 1,
-            Answer::Failed => it.failed += 1,
-            Answer::Refused(_) => it.refused += 1,
-            Answer::Unknown => it.unknown += 1,
-        });
         let took = clock::now() - since;
         info!(shared.log, "job answered"; "job" => %job, "answer" => ?answer,
             "took_ms" => millis(took), "goal_ms" => millis(submission.goal),
@@ -287,8 +270,8 @@
 }
 
 impl Open {
-    fn new(shared: &Rc<Shared>, job: Job, service: Rc<str>) -> Open {
-        shared.jobs.borrow_mut().insert(job, service);
+    fn new(shared: &Rc<Shared>, job: Job, queue: Rc<str>) -> Open {
+        shared.jobs.borrow_mut().insert(job, queue);
         let shared = shared.clone();
         Open { shared, job }
     }
@@ -323,12 +306,6 @@
 }
 
 impl Shared {
-    fn count(&self, change: impl FnOnce(&mut Counts)) {
-        let mut counts = self.counts.get();
-        change(&mut counts);
-        self.counts.set(counts);
-    }
-
     /// Keeps a job that is refused here from running at the other fronts that
     /// its caller reaches; false where something of it may have run.
     ///
--- a/crates/fleet/src/keeper/begin.rs
+++ b/crates/fleet/src/keeper/begin.rs
@@ -57,22 +57,35 @@
 
 async fn begin(shared: Rc<Shared>, held: Rc<Held>, key: Key, start: Start) {
     let fence = start.fence;
-    let answer = shared.orders.start(&held.target.borrow().clone(), start);
-    let answer = answer.await;
+    let target = held.target.borrow().clone();
+    let answer = shared.orders.start(&target, start).await;
     if held.released.get() {
         return;
     }
+    if answered(&shared, &held, key, fence, answer) {
+        stop(shared, held, key).await;
+    }
+}
+
+/// Takes in the answer to a start; true where the run is to be stopped.
+fn answered(
+    shared: &Rc<Shared>,
+    held: &Rc<Held>,
+    key: Key,
+    fence: u64,
+    answer: Result<u64, Fault>,
+) -> bool {
+    debug!(shared.log, "start answered"; "task" => %key.0, "run" => key.1,
+        "target" => %held.target.borrow().id, "answer" => ?answer);
     let mut state = held.state.borrow_mut();
     // A look may have found its end before the answer came.
     let Some(run) = state.runs.get_mut(&key) else {
         if let Ok(clock_ms) = answer {
             state.sync(clock_ms);
         }
-        return;
+        return false;
     };
     let stopping = run.phase == Phase::Stopping;
-    debug!(shared.log, "start answered"; "task" => %key.0, "run" => key.1,
-        "target" => %held.target.borrow().id, "answer" => ?answer);
     match answer {
         Ok(clock_ms) => {
             run.started_ms = Some(clock_ms);
@@ -80,11 +93,7 @@
                 run.phase = Phase::Running;
             }
             state.sync(clock_ms);
-            drop(state);
-            if stopping {
-                stop(shared, held, key).await;
-            }
-            return;
+            stopping
         }
         Err(Fault::Unknown) => {
             if !stopping {
@@ -95,51 +104,50 @@
                 "target" => %held.target.borrow().id);
             drop(state);
             held.urgent.notify();
-            if stopping {
-                stop(shared, held, key).await;
-            }
-            return;
-        }
-        Err(_) => {}
-    }
-    let Some(run) = state.runs.remove(&key) else {
-        return;
-    };
-    match answer {
-        Err(Fault::Fenced) if fence == state.fence => {
-            drop(state);
-            shared.yield_to_other(&held);
-            shared.requeue(key, run);
-        }
-        Err(fault @ (Fault::Stale | Fault::Invalid)) => {
-            drop(state);
-            let reason = match fault {
-                Fault::Stale => Reason::Stale,
-                _ => Reason::Invalid,
-            };
-            if let Some(reply) = run.reply {
-                let _ = reply.send(Ending::NotStarted(reason));
-            }
+            stopping
         }
         Err(fault) => {
-            match fault {
-                Fault::Late => state.unsync(),
-                Fault::Unhealthy | Fault::NotSent | Fault::Full => {
-                    state.trust.fail(clock::now());
-                }
-                _ => {}
-            }
+            let run = state.runs.remove(&key);
             drop(state);
-            info!(shared.log, "start refused"; "task" => %key.0, "run" => key.1,
-                "target" => %held.target.borrow().id, "fault" => %fault);
-            if matches!(fault, Fault::Late | Fault::Reborn) {
-                held.urgent.notify();
+            if let Some(run) = run {
+                refused(shared, held, key, run, fence, fault);
             }
-            shared.requeue(key, run);
+            shared.dispatch();
+            false
+        }
+    }
+}
+
+/// Deals with a start that certainly had no effect.
+fn refused(shared: &Rc<Shared>, held: &Rc<Held>, key: Key, run: Run, fence: u64, fault: Fault) {
+    info!(shared.log, "start refused"; "task" => %key.0, "run" => key.1,
+        "target" => %held.target.borrow().id, "fault" => %fault);
+    let reason = match fault {
+        Fault::Stale => Some(Reason::Stale),
+        Fault::Invalid => Some(Reason::Invalid),
+        _ => None,
+    };
+    if let Some(reason) = reason {
+        if let Some(reply) = run.reply {
+            let _ = reply.send(Ending::NotStarted(reason));
         }
-        Ok(_) => {}
+        return;
+    }
+    let mut state = held.state.borrow_mut();
+    match fault {
+        Fault::Late => state.unsync(),
+        Fault::Unhealthy | Fault::NotSent | Fault::Full => state.trust.fail(clock::now()),
+        _ => {}
+    }
+    let lost = fault == Fault::Fenced && fence == state.fence;
+    drop(state);
+    if lost {
+        shared.yield_to_other(held);
+    }
+    if matches!(fault, Fault::Late | Fault::Reborn) {
+        held.urgent.notify();
     }
-    shared.dispatch();
+    shared.requeue(key, run);
 }
 
 /// Orders a run to stop until a look shows that it is gone.
--- a/crates/fleet/tests/sessions/system.rs
+++ b/crates/fleet/tests/sessions/system.rs
@@ -243,6 +243,7 @@
                 affinity: None,
                 spread: 0,
             }],
+            queue: "matches".into(),
             service: "match".into(),
             priority: 1,
             max_attempts: 2,
