--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -376,7 +376,15 @@
         if let Some(at) = self.close_at.get() {
             limit = limit.min(at - clock::now());
         }
-        admission::decide(Outlook { wait, run, limit })
+        let outlook = Outlook { wait, run, limit };
+        let verdict = admission::decide(outlook);
+        if let Verdict::Refuse(retry) = verdict {
+            info!(self.log, "job refused at its arrival"; "job" => %submission.job,
+                "wait_ms" => millis(wait), "run_ms" => millis(run), "limit_ms" => millis(limit),
+                "owners" => owners.len(), "oldest_load_ms" => millis(self.roster.oldest()),
+                "retry_ms" => millis(retry));
+        }
+        verdict
     }
 
     async fn steps(self: &Rc<Self>, ticket: &Ticket<'_>) -> Answer {
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -251,6 +251,17 @@
         alive.map(|it| it.beacon.clone()).collect()
     }
 
+    /// Age of the oldest load of a peer that lives.
+    pub fn oldest(&self) -> Duration {
+        let now = clock::now();
+        let peers = self.peers.borrow();
+        let ages = peers
+            .values()
+            .filter(|it| it.alive)
+            .map(|it| now - it.heard);
+        ages.max().unwrap_or_default()
+    }
+
     /// Clocks of the peer at `address` now, as far as is known.
     pub fn clocks_of(&self, address: SocketAddr) -> Stamp {
         let peers = self.peers.borrow();
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -14,7 +14,7 @@
     time::Duration,
 };
 
-use bluebellpath_runtime::{LocalFuture, clock, spawn};
+use bluebellpath_runtime::{Instant, LocalFuture, clock, spawn};
 use slog::{Logger, info, warn};
 
 use crate::{
@@ -34,6 +34,10 @@
 /// Beacons to one's own failure domain for one to another.
 const FAR_BEACONS: u64 = 2;
 
+/// Time after its start in which an instance takes no targets of other domains:
+/// instances that lost power together start within a few tenths of a second.
+const GATHER: Duration = Duration::from_millis(600);
+
 /// Longest way of an order between instances; less than the silence after
 /// which a front takes an owner for gone.
 const TRANSIT: Duration = Duration::from_millis(400);
@@ -75,6 +79,9 @@
     asked_config: Cell<u64>,
     sequence: Cell<u64>,
     leaving: Cell<bool>,
+    started: Instant,
+    /// True once the time has passed in which others may still start.
+    gathered: Cell<bool>,
     listed: Cell<bool>,
 }
 
@@ -115,6 +122,8 @@
             asked_config: Cell::new(0),
             sequence: Cell::new(0),
             leaving: Cell::new(false),
+            started: clock::now(),
+            gathered: Cell::new(false),
             listed: Cell::new(false),
         })
     }
@@ -167,6 +176,7 @@
                 clock::sleep(TICK).await;
                 let changes = node.roster.sweep();
                 node.note(changes);
+                node.gather();
                 node.keeper.tick();
                 node.front.tick();
             }
@@ -295,6 +305,15 @@
         self.reassign();
     }
 
+    /// Takes over targets of other domains once their own instances had time
+    /// to start.
+    fn gather(&self) {
+        if !self.gathered.get() && clock::now() - self.started >= GATHER {
+            self.gathered.set(true);
+            self.reassign();
+        }
+    }
+
     /// Takes over what this instance should own.
     fn reassign(&self) {
         let own = Candidate {
@@ -304,7 +323,8 @@
         };
         let targets = self.targets.borrow();
         let leaving = self.leaving.get();
-        let mine = targets.values().filter(|it| {
+        let near = |it: &Target| self.gathered.get() || it.domain == self.config.domain;
+        let mine = targets.values().filter(|it| near(it)).filter(|it| {
             let owner = self.roster.owner(&it.id, &it.domain, own, leaving);
             owner.as_deref() == Some(&*self.config.name)
         });
