--- a/crates/fleet/src/keeper/mod.rs
+++ b/crates/fleet/src/keeper/mod.rs
@@ -85,7 +85,10 @@
     held: RefCell<BTreeMap<Rc<str>, Rc<Held>>>,
     queue: RefCell<Queue<Waiting>>,
     waiting: RefCell<HashMap<Key, Place>>,
+    /// Targets left to another owner: until when, and for how long.
     yielded: RefCell<BTreeMap<Rc<str>, (Instant, Duration)>>,
+    /// Time of the last look at them.
+    retried: Cell<Instant>,
     leaving: Cell<bool>,
     /// Time of the last tick.
     ticked: Cell<Instant>,
@@ -114,6 +117,7 @@
             queue: RefCell::default(),
             waiting: RefCell::default(),
             yielded: RefCell::default(),
+            retried: Cell::new(clock::now()),
             leaving: Cell::new(false),
             barred: RefCell::default(),
         }))
@@ -156,6 +160,19 @@
         self.0.held.borrow().values().map(|it| it.tag).collect()
     }
 
+    /// Stops leaving targets to owners of which one is gone.
+    pub fn forgive(&self) {
+        self.0.yielded.borrow_mut().clear();
+    }
+
+    /// True once when the time of leaving some target to its owner has ended.
+    pub fn may_retry(&self) -> bool {
+        let now = clock::now();
+        let last = self.0.retried.replace(now);
+        let yielded = self.0.yielded.borrow();
+        yielded.values().any(|it| last < it.0 && it.0 <= now)
+    }
+
     /// Ids of the targets held.
     pub fn owned(&self) -> Vec<Rc<str>> {
         self.0.held.borrow().keys().cloned().collect()
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -177,6 +177,9 @@
                 let changes = node.roster.sweep();
                 node.note(changes);
                 node.gather();
+                if node.keeper.may_retry() {
+                    node.reassign();
+                }
                 node.keeper.tick();
                 node.front.tick();
             }
@@ -290,6 +293,10 @@
         if changes.is_empty() {
             return;
         }
+        let joins = |it: &Change| matches!(it, Change::Joined(_));
+        if !changes.iter().all(joins) {
+            self.keeper.forgive();
+        }
         for change in changes {
             match change {
                 Change::Joined(name) => info!(self.log, "peer joined"; "peer" => %name),
