--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -27,7 +27,7 @@
     /// thousandths.
     pub stretch_milli: u32,
     /// Time beyond that in which it should be answered.
-    pub allowance: Duration,
+    pub margin: Duration,
     /// Longest time for a request.
     pub timeout: Duration,
     /// True where only a service of its own knows which targets may run a step.
