Read the list of targets once for each failure domain

Every instance read the changes of the list each 0.7 s: 15 to 18 calls a second for a deployment of 11 to 13, and growing with it. Now the first instance of a domain reads and passes on what changed; the others read when they have heard nothing newer for 1.4 or 2.1 s. Ruled out: a longer period for all, which halves the calls and makes new targets wait, and a reader chosen by agreement, which needs one more thing that can be wrong.

The session test fails without the passing on (all four read) and without the longer wait of those behind; it covers a reader killed, suspended, and one whose view of the platform stands still.

--- /dev/null
+++ b/crates/fleet/src/catalog.rs
@@ -0,0 +1,119 @@
+/*!
+The list of targets.
+
+Load pattern: heartbeats of the targets change the platform's table all the
+time, so following it takes a call for each look, and looks of all instances add
+up. One instance of each failure domain looks, and passes on what changed. The
+others look by themselves only once they have heard nothing newer for longer,
+each after a time of its own, so that a reader that is gone, frozen or cut off
+from the platform is replaced without any agreement.
+*/
+
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
+
+use bluebellpath_runtime::{Instant, clock};
+use serde::{Deserialize, Serialize};
+
+use crate::Target;
+
+/// Age at which the list is read anew by the first instance in line; a target
+/// is ready to be used within 3 s of its start, of which this is a part.
+const PERIOD: Duration = Duration::from_millis(700);
+
+/// Longest that an instance leaves the reading to others, in periods: within
+/// the 2.5 s for which a silent target that is no longer listed is kept.
+const MAX_TURNS: u32 = 3;
+
+/// What changed in the list between two of its versions.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Delta {
+    /// Version that it starts from.
+    pub from: u64,
+    /// Version that it leads to.
+    pub to: u64,
+    /// Targets as they are now.
+    pub changed: Vec<Target>,
+    /// Ids of targets that are listed no more.
+    pub gone: Vec<Rc<str>>,
+}
+
+/// List of targets as of one version.
+#[derive(Debug, Default)]
+pub struct Catalog {
+    version: Option<u64>,
+    targets: BTreeMap<Rc<str>, Target>,
+    renewed: Option<Instant>,
+}
+
+impl Catalog {
+    /// Version, `None` before the list has been read.
+    pub fn version(&self) -> Option<u64> {
+        self.version
+    }
+
+    /// Targets by id.
+    pub fn targets(&self) -> &BTreeMap<Rc<str>, Target> {
+        &self.targets
+    }
+
+    /// Takes in the whole list.
+    pub fn replace(&mut self, version: u64, targets: BTreeMap<Rc<str>, Target>) {
+        self.version = Some(version);
+        self.targets = targets;
+        self.renewed = Some(clock::now());
+    }
+
+    /// What the rows read after this list's version change in it; a row without
+    /// a target is one that is listed no more.
+    pub fn compare(&self, version: u64, rows: Vec<(Rc<str>, Option<Target>)>) -> Delta {
+        let mut changed = BTreeMap::new();
+        for (id, target) in rows {
+            changed.insert(id, target);
+        }
+        changed.retain(|id, target| self.targets.get(id) != target.as_ref());
+        let (changed, gone): (Vec<_>, Vec<_>) = changed.into_iter().partition(|it| it.1.is_some());
+        Delta {
+            from: self.version.unwrap_or_default(),
+            to: version,
+            changed: changed.into_iter().filter_map(|it| it.1).collect(),
+            gone: gone.into_iter().map(|it| it.0).collect(),
+        }
+    }
+
+    /// Takes in a change; false where the list stays as it is, because it is
+    /// newer already or changes between are missing.
+    pub fn apply(&mut self, delta: Delta) -> bool {
+        let Some(version) = self.version else {
+            return false;
+        };
+        if delta.from > version || delta.to <= version {
+            return false;
+        }
+        self.version = Some(delta.to);
+        self.renewed = Some(clock::now());
+        for target in delta.changed {
+            self.targets.insert(target.id.clone(), target);
+        }
+        for id in delta.gone {
+            self.targets.remove(&id);
+        }
+        true
+    }
+
+    /// Notes that this instance has just read the list, whatever it found.
+    pub fn renew(&mut self) {
+        self.renewed = Some(clock::now());
+    }
+
+    /// Time until the list should be read by the instance that is at `place` in
+    /// line, 0 first.
+    pub fn due(&self, place: usize) -> Duration {
+        let turns = u32::try_from(place).unwrap_or(u32::MAX).saturating_add(1);
+        match self.renewed {
+            Some(renewed) => {
+                (renewed + PERIOD * turns.min(MAX_TURNS)).saturating_since(clock::now())
+            }
+            None => Duration::ZERO,
+        }
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,7 +13,7 @@
 * [`keeper`]: the owner's side, from a waiting task to its end.
 * [`front`]: the caller's side, from a job to its answer.
 * [`node`]: one instance, put together from these.
-* [`config`]: the queues in force.
+* [`catalog`], [`config`]: the targets listed, and the queues in force.
 * [`member`]: the other instances, their load and whether they live.
 * [`handover`], [`queue`], [`room`], [`admission`], [`speed`], [`trust`]: decisions without I/O.
 
@@ -22,6 +22,7 @@
 */
 
 pub mod admission;
+pub mod catalog;
 pub mod config;
 pub mod fence;
 pub mod handover;
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     Job, Task,
+    catalog::Delta,
     ownership::{self, Candidate},
     work::{Ending, Load, Order, Stamp},
 };
@@ -68,6 +69,8 @@
     /// Say whether something of a job may have run, and else keep it from
     /// running for a while: it is about to be refused.
     Deny(Job),
+    /// Take in what changed in the list of targets.
+    Targets(Delta),
     /// Send the configuration document after this version.
     Config {
         /// Newest version that the sender knows.
@@ -251,6 +254,16 @@
         alive.map(|it| it.beacon.clone()).collect()
     }
 
+    /// Peers in `domain` that live and stay, by name.
+    pub fn neighbours(&self, domain: &str) -> Vec<(Rc<str>, SocketAddr)> {
+        let peers = self.peers.borrow();
+        let near = peers.iter().filter(|(_, it)| {
+            it.alive && !it.beacon.leaving && it.beacon.domain.as_ref() == domain
+        });
+        near.map(|(name, it)| (name.clone(), it.beacon.address))
+            .collect()
+    }
+
     /// Age of the oldest load of a peer that lives.
     pub fn oldest(&self) -> Duration {
         let now = clock::now();
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -19,6 +19,7 @@
 
 use crate::{
     Target,
+    catalog::{Catalog, Delta},
     config::Config as Queues,
     front::{self, Front},
     keeper::{self, Keeper, Parting},
@@ -74,7 +75,7 @@
     peers: Rc<dyn Peers>,
     decode: Decode,
     log: Logger,
-    targets: RefCell<BTreeMap<Rc<str>, Target>>,
+    catalog: RefCell<Catalog>,
     queues: RefCell<Rc<Queues>>,
     asked_config: Cell<u64>,
     sequence: Cell<u64>,
@@ -82,7 +83,6 @@
     started: Instant,
     /// True once the time has passed in which others may still start.
     gathered: Cell<bool>,
-    listed: Cell<bool>,
 }
 
 impl Node {
@@ -117,14 +117,13 @@
             peers,
             decode,
             log,
-            targets: RefCell::default(),
+            catalog: RefCell::default(),
             queues: RefCell::default(),
             asked_config: Cell::new(0),
             sequence: Cell::new(0),
             leaving: Cell::new(false),
             started: clock::now(),
             gathered: Cell::new(false),
-            listed: Cell::new(false),
         })
     }
 
@@ -156,7 +155,7 @@
     /// True once callers can be served.
     pub fn is_ready(&self) -> bool {
         self.queues.borrow().version > 0
-            && self.listed.get()
+            && self.catalog.borrow().version().is_some()
             && !self.leaving.get()
             && self.keeper.is_settled()
     }
@@ -186,13 +185,58 @@
         }));
     }
 
-    /// Takes in the list of targets.
-    pub fn set_targets(&self, targets: BTreeMap<Rc<str>, Target>) {
-        *self.targets.borrow_mut() = targets;
-        self.listed.set(true);
+    /// Takes in the whole list of targets.
+    pub fn set_targets(&self, version: u64, targets: BTreeMap<Rc<str>, Target>) {
+        self.catalog.borrow_mut().replace(version, targets);
         self.reassign();
     }
 
+    /// Takes in the rows of the list of targets that were read after its last
+    /// version, and passes on what they change.
+    pub fn change_targets(&self, version: u64, rows: Vec<(Rc<str>, Option<Target>)>) {
+        let delta = {
+            let mut catalog = self.catalog.borrow_mut();
+            catalog.renew();
+            catalog.compare(version, rows)
+        };
+        // Nothing new may mean that this instance's view stands still, so the
+        // others go on to look by themselves.
+        if delta.to <= delta.from {
+            return;
+        }
+        for (_, address) in self.roster.neighbours(&self.config.domain) {
+            let call = self.peers.call(address, Request::Targets(delta.clone()));
+            // A peer that misses it reads the list by itself.
+            drop(spawn(async move { drop(call.await) }));
+        }
+        self.take_targets(delta);
+    }
+
+    /// Version of the list of targets, `None` before it has been read.
+    pub fn targets_version(&self) -> Option<u64> {
+        self.catalog.borrow().version()
+    }
+
+    /// Waits until it is this instance's turn to read the list of targets.
+    pub async fn targets_due(&self) {
+        loop {
+            let neighbours = self.roster.neighbours(&self.config.domain);
+            let before = neighbours.iter().filter(|it| it.0 < self.config.name);
+            let due = self.catalog.borrow().due(before.count());
+            if due.is_zero() {
+                return;
+            }
+            clock::sleep(due).await;
+        }
+    }
+
+    fn take_targets(&self, delta: Delta) {
+        let changes = !delta.changed.is_empty() || !delta.gone.is_empty();
+        if self.catalog.borrow_mut().apply(delta) && changes {
+            self.reassign();
+        }
+    }
+
     /// Takes in a configuration document; an older version than the one in
     /// force changes nothing.
     pub fn offer(&self, document: &str, source: &str) {
@@ -259,6 +303,10 @@
                 };
                 Box::pin(async move { reply })
             }
+            Request::Targets(delta) => {
+                self.take_targets(delta);
+                Box::pin(async { Reply::Accepted })
+            }
             Request::Config { after } => {
                 let queues = self.queues();
                 let document = (queues.version > after).then(|| queues.document.to_string());
@@ -328,7 +376,8 @@
             domain: &self.config.domain,
             strength: self.config.strength,
         };
-        let targets = self.targets.borrow();
+        let catalog = self.catalog.borrow();
+        let targets = catalog.targets();
         let leaving = self.leaving.get();
         let near = |it: &Target| self.gathered.get() || it.domain == self.config.domain;
         let mine = targets.values().filter(|it| near(it)).filter(|it| {
--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -2,10 +2,12 @@
 
 use std::{net::SocketAddr, rc::Rc};
 
+use serde::{Deserialize, Serialize};
+
 use crate::Resources;
 
 /// One life of a target.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
     /// Id, unique among all targets; a restarted one may keep it.
     pub id: Rc<str>,
--- a/crates/fleet/tests/sessions/main.rs
+++ b/crates/fleet/tests/sessions/main.rs
@@ -9,7 +9,7 @@
 use bluebellpath_runtime::runtime;
 use bluebellpath_standin::Mishap;
 
-use self::system::{SMALL, System, Work, wait};
+use self::system::{SMALL, System, Work, target, wait};
 
 #[test]
 fn calm_jobs_run_each_task_once() {
@@ -381,3 +381,67 @@
         assert_eq!(system.answer(1), Some(Answer::Unknown));
     });
 }
+
+#[test]
+fn one_instance_of_each_domain_reads_the_list_of_targets() {
+    /// What happens to the first reader.
+    struct Case {
+        name: &'static str,
+        strike: fn(&System),
+        /// Instances that read at least twice in the 4 s after.
+        readers: &'static [usize],
+        /// Most time in which a new target is known to all, in milliseconds.
+        known_ms: u64,
+    }
+    const CASES: [Case; 4] = [
+        Case {
+            name: "calm",
+            strike: |_| {},
+            readers: &[0, 2],
+            known_ms: 800,
+        },
+        Case {
+            name: "killed",
+            strike: |system| system.kill(0),
+            readers: &[1, 2],
+            known_ms: 1_500,
+        },
+        Case {
+            name: "suspended",
+            strike: |system| system.freeze(0),
+            readers: &[1, 2],
+            known_ms: 1_500,
+        },
+        Case {
+            name: "its view stands still",
+            strike: |system| system.listing.stuck.set(Some(0)),
+            readers: &[0, 1, 2],
+            known_ms: 1_500,
+        },
+    ];
+    for case in CASES {
+        runtime::paused(async move {
+            let system = System::start(SMALL).await;
+            wait(2_000).await;
+            (case.strike)(&system);
+            system.listing.reads.borrow_mut().clear();
+            system.yard.add(target(100, 0));
+            wait(case.known_ms).await;
+            let owned = |it: usize| system.instances[it].node.keeper().owned();
+            let known = [0, 1]
+                .iter()
+                .any(|it| owned(*it).iter().any(|it| **it == *"target-100"));
+            assert!(known, "{}: not known in time", case.name);
+            wait(4_000 - case.known_ms).await;
+            let reads = system.listing.reads.borrow();
+            let often = reads.iter().filter(|it| *it.1 >= 2).map(|it| *it.0);
+            let often: Vec<usize> = often.collect();
+            assert_eq!(often, case.readers, "{}", case.name);
+            assert!(
+                reads.values().all(|it| *it <= 6),
+                "{}: {reads:?}",
+                case.name
+            );
+        });
+    }
+}
--- a/crates/fleet/tests/sessions/system.rs
+++ b/crates/fleet/tests/sessions/system.rs
@@ -1,7 +1,7 @@
 //! A deployment in memory, on the paused clock.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::BTreeMap,
     net::{Ipv4Addr, SocketAddr},
     rc::Rc,
@@ -48,9 +48,19 @@
 /// Answers by job.
 pub type Answers = Rc<RefCell<BTreeMap<u64, Answer>>>;
 
+/// The platform's list of targets, whose version rises all the time.
+#[derive(Default)]
+pub struct Listing {
+    /// Times that each instance has read it.
+    pub reads: RefCell<BTreeMap<usize, u32>>,
+    /// Instance whose view of it stands still.
+    pub stuck: Cell<Option<usize>>,
+}
+
 /// A deployment.
 pub struct System {
     pub yard: Yard,
+    pub listing: Rc<Listing>,
     pub mesh: Mesh,
     pub instances: Vec<Instance>,
     pub answers: Answers,
@@ -66,6 +76,7 @@
         }
         let mut system = System {
             yard,
+            listing: Rc::default(),
             mesh: Mesh::default(),
             instances: Vec::new(),
             answers: Answers::default(),
@@ -106,7 +117,7 @@
         let side = Rc::new(self.mesh.side(address));
         let orders = Rc::new(self.yard.hand(&domain));
         let log = log(&name);
-        let (targets, peers) = (self.yard.list(), self.layout);
+        let (yard, listing, peers) = (self.yard.clone(), self.listing.clone(), self.layout);
         let node = Node::new(config, orders, side, |_| Ok(Queues::default()), log);
         let starting = node.clone();
         drop(scope.spawn(async move {
@@ -114,7 +125,18 @@
                 starting.roster().learn(self::address(peer));
             }
             starting.start();
-            starting.set_targets(targets);
+            starting.set_targets(version(), yard.list());
+            loop {
+                starting.targets_due().await;
+                *listing.reads.borrow_mut().entry(number).or_default() += 1;
+                match listing.stuck.get() == Some(number) {
+                    true => starting.change_targets(0, Vec::new()),
+                    false => {
+                        let rows = yard.list().into_iter().map(|(id, it)| (id, Some(it)));
+                        starting.change_targets(version(), rows.collect());
+                    }
+                }
+            }
         }));
         self.mesh.join(address, node.clone(), scope.clone());
         let instance = Instance {
@@ -292,7 +314,7 @@
     SocketAddr::new(Ipv4Addr::LOCALHOST.into(), port)
 }
 
-fn target(number: usize, domain: usize) -> Target {
+pub fn target(number: usize, domain: usize) -> Target {
     Target {
         id: format!("target-{number}").into(),
         born_ms: 1,
@@ -309,6 +331,11 @@
     }
 }
 
+/// Version of the list of targets now.
+fn version() -> u64 {
+    1 + clock::now().as_nanos() / 1_000_000
+}
+
 /// Sleeps for milliseconds.
 pub fn wait(ms: u64) -> LocalFuture<'static, ()> {
     Box::pin(clock::sleep(Duration::from_millis(ms)))
