--- a/crates/fleet/src/orders.rs
+++ b/crates/fleet/src/orders.rs
@@ -61,8 +61,6 @@
     pub task: Task,
     /// Run.
     pub run: u32,
-    /// Share of the work that is done, in percent.
-    pub percent: u8,
 }
 
 /// Run that ended.
--- a/crates/standin/src/yard.rs
+++ b/crates/standin/src/yard.rs
@@ -72,7 +72,6 @@
 #[derive(Clone, Copy)]
 struct Busy {
     cpu: u32,
-    since: Instant,
     until: Instant,
     fails: bool,
 }
@@ -190,7 +189,6 @@
         let now = clock::now();
         let busy = Busy {
             cpu,
-            since: now,
             until: now + Duration::from_millis(run_ms.into()),
             fails: words.next().is_some(),
         };
@@ -271,15 +269,9 @@
 
     fn listing(&self) -> Listing {
         let runs = self.runs.borrow();
-        let now = clock::now();
-        let percent = |it: &Busy| {
-            let whole = (it.until - it.since).as_millis().max(1);
-            u8::try_from((now - it.since).as_millis() * 100 / whole).unwrap_or(100)
-        };
-        let running = runs.iter().map(|(key, busy)| Running {
+        let running = runs.keys().map(|key| Running {
             task: key.0,
             run: key.1,
-            percent: percent(busy),
         });
         Listing {
             clock_ms: now_ms(),
