Plant five faults that the fleet's sessions must find

Token kept for a start in doubt, claim denied unseen, lease renewed for a silent target and not noted, a sent job refused as never run, a configuration taken back.

--- a/crates/fleet/src/front/mod.rs
+++ b/crates/fleet/src/front/mod.rs
@@ -31,7 +31,7 @@
 use slog::{Logger, info};
 
 use crate::{
-    Job, Resources, Target, Task,
+    Job, Planted, Resources, Target, Task,
     admission::{self, Outlook, Verdict},
     handover::{self, Distance, Need, Owner},
     keeper::{Keeper, Parting},
@@ -83,6 +83,8 @@
     pub address: SocketAddr,
     /// Time after which a run that nobody has found is over for certain.
     pub orphan: Duration,
+    /// Fault planted by a test.
+    pub planted: Option<Planted>,
 }
 
 /// Part of a job whose tasks are alike.
@@ -347,7 +349,7 @@
         match select(pin!(steps), pin!(closed)).await {
             Either::Left((Some(answer), _)) => answer,
             Either::Left((None, _)) => Answer::Unknown,
-            Either::Right(_) => give_up(&self.log, &self.begun, &ticket, Reason::Leaving),
+            Either::Right(_) => self.give_up(&ticket, Reason::Leaving),
         }
     }
 
@@ -419,7 +421,7 @@
                     self.recall(ticket);
                     let others = async { while tasks.next().await.is_some() {} };
                     clock::timeout(RECALL_WAIT, others).await;
-                    return give_up(&self.log, &self.begun, ticket, reason);
+                    return self.give_up(ticket, reason);
                 }
             }
         }
@@ -553,6 +555,22 @@
         }
     }
 
+    /// Answer to a job that can't be served any more.
+    fn give_up(&self, ticket: &Ticket<'_>, reason: Reason) -> Answer {
+        // A run without an answer may have started.
+        let begun = ticket.begun.get() || !ticket.out.borrow().is_empty();
+        let begun = begun && self.config.planted != Some(Planted::NotRunAfterSend);
+        info!(self.log, "job given up"; "job" => %ticket.submission.job, "cause" => %reason,
+            "begun" => begun);
+        match begun {
+            true => Answer::Unknown,
+            false => {
+                self.begun.borrow_mut().remove(&ticket.submission.job);
+                Answer::Refused(ticket.submission.goal)
+            }
+        }
+    }
+
     fn distrust(&self, peer: SocketAddr) {
         let until = clock::now() + PEER_PAUSE;
         self.failing.borrow_mut().insert(peer, until);
@@ -598,26 +616,6 @@
     }
 }
 
-/// Answer to a job that can't be served any more.
-fn give_up(
-    log: &Logger,
-    memory: &RefCell<HashMap<Job, Instant>>,
-    ticket: &Ticket<'_>,
-    reason: Reason,
-) -> Answer {
-    // A run without an answer may have started.
-    let begun = ticket.begun.get() || !ticket.out.borrow().is_empty();
-    info!(log, "job given up"; "job" => %ticket.submission.job, "cause" => %reason,
-        "begun" => begun);
-    match begun {
-        true => Answer::Unknown,
-        false => {
-            memory.borrow_mut().remove(&ticket.submission.job);
-            Answer::Refused(ticket.submission.goal)
-        }
-    }
-}
-
 /// Where a run is that was handed over.
 enum Whereabouts {
     /// It is over.
--- a/crates/fleet/src/keeper/held.rs
+++ b/crates/fleet/src/keeper/held.rs
@@ -210,6 +210,15 @@
         self.lease_end = self.lease_end.max(clock::now() + longest);
     }
 
+    /// Treats starts in doubt as if the token had been raised since.
+    pub(super) fn believe_raised(&mut self) {
+        for run in self.runs.values_mut() {
+            if run.started_ms.is_none() {
+                run.fence = run.fence.saturating_sub(1);
+            }
+        }
+    }
+
     /// Notes the target's clock from an answer.
     pub(super) fn sync(&mut self, clock_ms: u64) {
         if self.clock.is_none_or(|it| clock_ms >= it.0) {
--- a/crates/fleet/src/keeper/mod.rs
+++ b/crates/fleet/src/keeper/mod.rs
@@ -30,7 +30,7 @@
 
 use self::held::{Held, Key, Phase, Run, millis};
 use crate::{
-    Target,
+    Planted, Target,
     fence::Source,
     orders::{How, Orders},
     queue::{Place, Queue},
@@ -71,6 +71,8 @@
     pub unlisted: Duration,
     /// Factor on the run time away from the rack that holds the data.
     pub far_factor: f64,
+    /// Fault planted by a test.
+    pub planted: Option<Planted>,
 }
 
 /// Targets that this instance owns.
@@ -231,6 +233,9 @@
         let shared = self.0.clone();
         Box::pin(async move {
             let key = (order.task, order.run);
+            if shared.config.planted == Some(Planted::SkipAdoption) {
+                return Err(tags);
+            }
             let guard = Guard::new(&shared, key, parting);
             let (reply, ending) = oneshot::channel();
             let mut reply = Some(reply);
--- a/crates/fleet/src/keeper/watch.rs
+++ b/crates/fleet/src/keeper/watch.rs
@@ -17,7 +17,7 @@
     held::{Held, Phase, millis},
 };
 use crate::{
-    fence,
+    Planted, fence,
     orders::{Fault, Hold},
 };
 
@@ -107,14 +107,18 @@
     });
     if doubtful {
         state.known = false;
-        state.fence = fence::raise(fence)?;
+        match shared.config.planted {
+            Some(Planted::KeepToken) => state.believe_raised(),
+            _ => state.fence = fence::raise(fence)?,
+        }
     }
     // A target that does not answer gets no new lease, so that the last one ends.
-    let until_ms = match state.known {
+    let silent = shared.config.planted == Some(Planted::RenewSilent);
+    let until_ms = match state.known || silent {
         true => state.lease(shared.config.lease),
         false => None,
     };
-    if until_ms.is_some() {
+    if until_ms.is_some() && !silent {
         state.grant(shared.config.lease);
     }
     let asked = held.asked.get() > held.answered.get();
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod node;
 pub mod orders;
 pub mod ownership;
+mod planted;
 pub mod queue;
 mod resource;
 pub mod room;
@@ -41,6 +42,7 @@
 mod task;
 pub mod work;
 
+pub use planted::Planted;
 pub use resource::Resources;
 pub use target::Target;
 pub use task::{Job, Malformed, Task};
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -18,7 +18,7 @@
 use slog::{Logger, info, warn};
 
 use crate::{
-    Target,
+    Planted, Target,
     catalog::{Catalog, Delta},
     config::Config as Queues,
     front::{self, Front},
@@ -63,6 +63,8 @@
     pub member: member::Config,
     /// Time after which a run that nobody has found is over.
     pub orphan: Duration,
+    /// Fault planted by a test.
+    pub planted: Option<Planted>,
 }
 
 /// One entry instance.
@@ -94,7 +96,11 @@
         decode: Decode,
         log: Logger,
     ) -> Rc<Node> {
-        let keeper = Keeper::new(&config.name, config.keeper, orders, log.clone());
+        let keeper_config = keeper::Config {
+            planted: config.planted,
+            ..config.keeper
+        };
+        let keeper = Keeper::new(&config.name, keeper_config, orders, log.clone());
         let roster = Rc::new(Roster::new(config.name.clone(), config.member));
         let front = Front::new(
             front::Config {
@@ -102,6 +108,7 @@
                 domain: config.domain.clone(),
                 address: config.address,
                 orphan: config.orphan,
+                planted: config.planted,
             },
             keeper.clone(),
             roster.clone(),
@@ -249,7 +256,8 @@
             }
         };
         let before = self.queues.borrow().version;
-        if queues.version <= before {
+        let older = queues.version <= before;
+        if older && self.config.planted != Some(Planted::TakeBackConfig) {
             return;
         }
         info!(self.log, "configuration in force"; "version" => queues.version,
--- /dev/null
+++ b/crates/fleet/tests/sessions/planted.rs
@@ -0,0 +1,92 @@
+//! Planted faults, each of which must be found.
+
+use std::time::Duration;
+
+use bluebellpath_fleet::Planted;
+use bluebellpath_runtime::runtime;
+use bluebellpath_standin::Mishap;
+
+use crate::{
+    random,
+    system::{SMALL, System, Work, wait},
+};
+
+/// Fault that random sessions find.
+struct Case {
+    planted: Planted,
+    /// Part of what is told of it.
+    told: &'static str,
+}
+
+const CASES: [Case; 3] = [
+    Case {
+        planted: Planted::SkipAdoption,
+        told: "beside run",
+    },
+    Case {
+        planted: Planted::RenewSilent,
+        told: "beside run",
+    },
+    Case {
+        planted: Planted::NotRunAfterSend,
+        told: "was refused and has run",
+    },
+];
+
+/// Most sessions that it may take.
+const SEEDS: std::ops::Range<u64> = 0..60;
+
+#[test]
+fn random_sessions_find_planted_faults() {
+    for case in CASES {
+        let finds = |seed: &u64| {
+            let violations = random::session(*seed, Some(case.planted));
+            violations.iter().any(|it| it.contains(case.told))
+        };
+        let found = SEEDS.clone().find(finds);
+        println!("{:?}: found by seed {found:?}", case.planted);
+        assert!(found.is_some(), "{:?} was not found", case.planted);
+    }
+}
+
+/// Starts that are carried out late, yet within their lease.
+fn late_starts(planted: Option<Planted>) -> Vec<String> {
+    runtime::paused(async move {
+        let system = System::start_with(SMALL, planted).await;
+        let targets: Vec<_> = system.yard.list().into_keys().collect();
+        for id in targets.iter().step_by(2) {
+            let late = Mishap::Late(Duration::from_millis(400));
+            system.yard.set_mishap(id, late);
+        }
+        system.submit(0, Work::default());
+        wait(9_000).await;
+        system.violations()
+    })
+}
+
+#[test]
+fn a_late_start_is_fenced_off() {
+    assert_eq!(late_starts(None), Vec::<String>::new());
+    let planted = late_starts(Some(Planted::KeepToken));
+    assert!(!planted.is_empty(), "the planted fault was not found");
+}
+
+/// Versions in force at all instances after a newer and an older one came.
+fn versions(planted: Option<Planted>) -> Vec<u64> {
+    runtime::paused(async move {
+        let system = System::start_with(SMALL, planted).await;
+        system.instances[0].node.offer("7", "store");
+        wait(1_000).await;
+        system.instances[1].node.offer("6", "store");
+        wait(1_000).await;
+        let nodes = system.instances.iter().map(|it| &it.node);
+        nodes.map(|it| it.queues().version).collect()
+    })
+}
+
+#[test]
+fn a_configuration_spreads_and_is_never_taken_back() {
+    assert_eq!(versions(None), [7; 4]);
+    let planted = versions(Some(Planted::TakeBackConfig));
+    assert_ne!(planted, [7; 4], "the planted fault was not found");
+}
--- a/crates/fleet/tests/sessions/random.rs
+++ b/crates/fleet/tests/sessions/random.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use bluebellpath_fleet::Planted;
 use bluebellpath_runtime::runtime;
 use bluebellpath_standin::Mishap;
 
@@ -101,9 +102,15 @@
 fn play(seed: u64) {
     // Names the seed of a session that panics.
     println!("seed {seed}");
+    let violations = session(seed, None);
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
+/// Plays a session; gives what happened that must never happen.
+pub fn session(seed: u64, planted: Option<Planted>) -> Vec<String> {
     runtime::paused(async move {
         let mut dice = Dice(seed);
-        let mut system = System::start(LAYOUT).await;
+        let mut system = System::start_with(LAYOUT, planted).await;
         let instances = LAYOUT.domains * LAYOUT.instances;
         let targets: Vec<_> = system.yard.list().keys().cloned().collect();
         let mut job = 0;
@@ -135,8 +142,8 @@
         }
         (0..instances).for_each(|it| system.thaw(it));
         wait(12_000).await;
-        system.check();
-    });
+        system.violations()
+    })
 }
 
 /// One fault, or the end of one.
--- a/crates/fleet/tests/sessions/system.rs
+++ b/crates/fleet/tests/sessions/system.rs
@@ -9,7 +9,7 @@
 };
 
 use bluebellpath_fleet::{
-    Job, Resources, Target, Task,
+    Job, Planted, Resources, Target, Task,
     config::Config as Queues,
     front::{Answer, Step, Submission},
     keeper, member,
@@ -65,11 +65,17 @@
     pub instances: Vec<Instance>,
     pub answers: Answers,
     layout: Layout,
+    planted: Option<Planted>,
 }
 
 impl System {
     /// Deployment whose instances have taken over their targets.
     pub async fn start(layout: Layout) -> System {
+        System::start_with(layout, None).await
+    }
+
+    /// Deployment with a fault planted in every instance.
+    pub async fn start_with(layout: Layout, planted: Option<Planted>) -> System {
         let yard = Yard::default();
         for number in 0..layout.domains * layout.targets {
             yard.add(target(number, number / layout.targets));
@@ -81,6 +87,7 @@
             instances: Vec::new(),
             answers: Answers::default(),
             layout,
+            planted,
         };
         for number in 0..layout.domains * layout.instances {
             system.add(number, number / layout.instances);
@@ -107,18 +114,20 @@
                 claim: Duration::from_millis(450),
                 unlisted: Duration::from_millis(2_500),
                 far_factor: 1.5,
+                planted: None,
             },
             member: member::Config {
                 interval: Duration::from_millis(100),
                 silence: Duration::from_millis(550),
             },
             orphan: Duration::from_millis(2_000),
+            planted: self.planted,
         };
         let side = Rc::new(self.mesh.side(address));
         let orders = Rc::new(self.yard.hand(&domain));
         let log = log(&name);
         let (yard, listing, peers) = (self.yard.clone(), self.listing.clone(), self.layout);
-        let node = Node::new(config, orders, side, |_| Ok(Queues::default()), log);
+        let node = Node::new(config, orders, side, read, log);
         let starting = node.clone();
         drop(scope.spawn(async move {
             for peer in 0..peers.domains * peers.instances {
@@ -206,18 +215,24 @@
         of_job.map(|(_, runs)| runs).sum()
     }
 
-    /// Panics where something happened that must never happen.
-    #[track_caller]
-    pub fn check(&self) {
-        let violations = self.yard.violations();
-        assert!(violations.is_empty(), "{violations:#?}");
+    /// What happened that must never happen.
+    pub fn violations(&self) -> Vec<String> {
+        let mut violations = self.yard.violations();
         let started = self.yard.started();
         for (job, answer) in self.answers.borrow().iter() {
             let ran = started.keys().any(|it: &Task| it.job == Job(*job));
-            if matches!(answer, Answer::Refused(_)) {
-                assert!(!ran, "job {job} was refused and has run");
+            if ran && matches!(answer, Answer::Refused(_)) {
+                violations.push(format!("job {job} was refused and has run"));
             }
         }
+        violations
+    }
+
+    /// Panics where something happened that must never happen.
+    #[track_caller]
+    pub fn check(&self) {
+        let violations = self.violations();
+        assert!(violations.is_empty(), "{violations:#?}");
     }
 }
 
@@ -331,6 +346,16 @@
     }
 }
 
+/// Reads a configuration document, which holds nothing but its version.
+fn read(document: &str) -> Result<Queues, String> {
+    let version = document.parse().map_err(|_| "not a version".to_owned())?;
+    Ok(Queues {
+        version,
+        document: document.into(),
+        ..Queues::default()
+    })
+}
+
 /// Version of the list of targets now.
 fn version() -> u64 {
     1 + clock::now().as_nanos() / 1_000_000
