--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -16,13 +16,16 @@
 
 use crate::Target;
 
-/// Age at which the list is read anew by the first instance in line; a target
-/// is ready to be used within 3 s of its start, of which this is a part.
-const PERIOD: Duration = Duration::from_millis(700);
+/// Age at which the list is read anew by the first instance in line; half of
+/// the shortest notice, 2 s, at which a target goes.
+const PERIOD: Duration = Duration::from_millis(1_000);
 
-/// Longest that an instance leaves the reading to others, in periods: within
-/// the 2.5 s for which a silent target that is no longer listed is kept.
-const MAX_TURNS: u32 = 3;
+/// Time by which each further instance in line waits longer.
+const TURN: Duration = Duration::from_millis(500);
+
+/// Longest that an instance leaves the reading to others, in turns: within the
+/// 2.5 s for which a silent target that is no longer listed is kept.
+const MAX_TURNS: u32 = 2;
 
 /// What changed in the list between two of its versions.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -108,12 +111,9 @@
     /// Time until the list should be read by the instance that is at `place` in
     /// line, 0 first.
     pub fn due(&self, place: usize) -> Duration {
-        let turns = u32::try_from(place).unwrap_or(u32::MAX).saturating_add(1);
-        match self.renewed {
-            Some(renewed) => {
-                (renewed + PERIOD * turns.min(MAX_TURNS)).saturating_since(clock::now())
-            }
-            None => Duration::ZERO,
-        }
+        let turns = u32::try_from(place).unwrap_or(MAX_TURNS).min(MAX_TURNS);
+        self.renewed.map_or(Duration::ZERO, |renewed| {
+            (renewed + PERIOD + TURN * turns).saturating_since(clock::now())
+        })
     }
 }
