--- a/crates/bluebellpath/src/entry/observe.rs
+++ b/crates/bluebellpath/src/entry/observe.rs
@@ -12,7 +12,7 @@
     /// All metrics as text.
     pub fn metrics(&self) -> String {
         let state = &self.0;
-        let work = self.work();
+        let (work, read_ms) = (self.work(), state.env.config.read_ms());
         state.meters.read(&Sample {
             jobs: state.jobs.len() as u64,
             waiting: work.waiting as u64,
@@ -23,6 +23,8 @@
             unwritten: work.unwritten as u64,
             heartbeat_bytes: state.membership.tally().sent_bytes,
             config_version: state.env.config.view().version,
+            // A configuration that was given as a file is always the newest.
+            config_age_ms: read_ms.map_or(0, |it| clock::wall().saturating_sub(it)),
         })
     }
 
--- a/crates/bluebellpath/src/metric/meters.rs
+++ b/crates/bluebellpath/src/metric/meters.rs
@@ -155,6 +155,13 @@
             |it| it.config_version,
             gauge("config_version", "Configuration version in force"),
         ),
+        (
+            |it| it.config_age_ms,
+            gauge(
+                "config_age_ms",
+                "Milliseconds since that version was known to be the newest",
+            ),
+        ),
     ]
 }
 
--- a/crates/bluebellpath/src/metric/sample.rs
+++ b/crates/bluebellpath/src/metric/sample.rs
@@ -21,4 +21,6 @@
     pub heartbeat_bytes: u64,
     /// Configuration version in force.
     pub config_version: u64,
+    /// Milliseconds since it was last known to be the newest.
+    pub config_age_ms: u64,
 }
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -80,6 +80,8 @@
     catalog: RefCell<Catalog>,
     queues: RefCell<Rc<Queues>>,
     asked_config: Cell<u64>,
+    /// When the platform last said what the newest configuration is.
+    config_told: Cell<Instant>,
     sequence: Cell<u64>,
     leaving: Cell<bool>,
     started: Instant,
@@ -127,6 +129,7 @@
             catalog: RefCell::default(),
             queues: RefCell::default(),
             asked_config: Cell::new(0),
+            config_told: Cell::new(clock::now()),
             sequence: Cell::new(0),
             leaving: Cell::new(false),
             started: clock::now(),
@@ -154,6 +157,16 @@
         self.queues.borrow().clone()
     }
 
+    /// Notes that the platform has just said what the newest configuration is.
+    pub fn note_config_told(&self) {
+        self.config_told.set(clock::now());
+    }
+
+    /// Time since the platform last said what the newest configuration is.
+    pub fn config_age(&self) -> Duration {
+        clock::now() - self.config_told.get()
+    }
+
     /// Wall time of the start of this instance, in milliseconds.
     pub fn incarnation(&self) -> u64 {
         self.incarnation
