--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,18 +13,20 @@
 * [`keeper`]: the owner's side, from a waiting task to its end.
 * [`front`]: the caller's side, from a job to its answer.
 * [`node`]: one instance, put together from these.
+* [`follow`]: how the platform's tables are followed.
 * [`catalog`], [`config`]: the targets listed, and the queues in force.
 * [`member`]: the other instances, their load and whether they live.
 * [`handover`], [`queue`], [`room`], [`admission`], [`speed`], [`trust`]: decisions without I/O.
 
-Nothing here does I/O of its own: targets are met behind [`orders::Orders`] and
-instances behind [`member::Peers`].
+Nothing here does I/O of its own: targets are met behind [`orders::Orders`],
+instances behind [`member::Peers`] and the platform behind [`follow::Table`].
 */
 
 pub mod admission;
 pub mod catalog;
 pub mod config;
 pub mod fence;
+pub mod follow;
 pub mod handover;
 pub mod front;
 pub mod keeper;
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -137,6 +137,11 @@
         })
     }
 
+    /// Name.
+    pub fn name(&self) -> &Rc<str> {
+        &self.config.name
+    }
+
     /// Takes jobs.
     pub fn front(&self) -> &Front {
         &self.front
