--- a/crates/fleet/tests/sessions/main.rs
+++ b/crates/fleet/tests/sessions/main.rs
@@ -1,5 +1,6 @@
 //! Whole deployments on the paused clock, with one fault each.
 
+mod config;
 mod planted;
 mod random;
 mod system;
--- a/crates/fleet/tests/sessions/system.rs
+++ b/crates/fleet/tests/sessions/system.rs
@@ -11,12 +11,13 @@
 use bluebellpath_fleet::{
     Job, Planted, Resources, Target, Task,
     config::Config as Queues,
+    follow::{self, Document},
     front::{Answer, Step, Submission},
     keeper, member,
     node::{Config, Node},
 };
 use bluebellpath_runtime::{LocalFuture, Scope, clock};
-use bluebellpath_standin::{Mesh, Yard};
+use bluebellpath_standin::{Feed, Mesh, Yard};
 use slog::{Drain, KV, Key, Logger, OwnedKVList, Record, Serializer, o};
 
 /// Cores of a target.
@@ -61,6 +62,7 @@
 pub struct System {
     pub yard: Yard,
     pub listing: Rc<Listing>,
+    pub configurations: Feed<Document>,
     pub mesh: Mesh,
     pub instances: Vec<Instance>,
     pub answers: Answers,
@@ -83,6 +85,7 @@
         let mut system = System {
             yard,
             listing: Rc::default(),
+            configurations: Feed::default(),
             mesh: Mesh::default(),
             instances: Vec::new(),
             answers: Answers::default(),
@@ -127,13 +130,15 @@
         let orders = Rc::new(self.yard.hand(&domain));
         let log = log(&name);
         let (yard, listing, peers) = (self.yard.clone(), self.listing.clone(), self.layout);
-        let node = Node::new(config, orders, side, read, log);
+        let node = Node::new(config, orders, side, read, log.clone());
         let starting = node.clone();
+        let configurations = Rc::new(self.configurations.side(number));
         drop(scope.spawn(async move {
             for peer in 0..peers.domains * peers.instances {
                 starting.roster().learn(self::address(peer));
             }
             starting.start();
+            follow::configuration(&starting, configurations, &log);
             starting.set_targets(version(), yard.list());
             loop {
                 starting.targets_due().await;
@@ -192,6 +197,18 @@
         }
     }
 
+    /// Lets the operator change the configuration.
+    pub fn configure(&self, version: u64) {
+        self.configurations
+            .put("config", version.to_string().into());
+    }
+
+    /// Versions of the configuration in force at the instances that live.
+    pub fn versions(&self) -> Vec<u64> {
+        let alive = self.instances.iter().filter(|it| it.scope.is_alive());
+        alive.map(|it| it.node.queues().version).collect()
+    }
+
     /// Sends a job to an instance; its answer comes into `answers`.
     pub fn submit(&self, number: usize, work: Work) {
         let instance = &self.instances[number];
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod dice;
 mod fault;
+mod feed;
 mod fleet;
 mod gate;
 mod instances;
@@ -23,6 +24,7 @@
 mod yard;
 
 pub use fault::Faults;
+pub use feed::Feed;
 pub use fleet::{Fleet, Layout, Member};
 pub use gate::Gate;
 pub use instances::Instances;
