Read the configuration in turn, and hang no news on one call

Cause: a long poll that waits for a change and one whose answer is lost look the same until the wait is over. The follower waited up to 8 s and gave the call up 1.5 s after that, so one lost call hid every change for 9.5 s, where a change must be in force in 2 s. All instances asked at the same moment, just after the change before, so all were deaf together and no peer could tell another.

Now what is known has an age. Beacons carry the version of the platform's tables at which the configuration in force was the newest. The first instance in line holds a call, for 0.3 of the time in which a change must be in force; each other one reads by itself once it has learnt nothing newer for half of that time. A view that stands still proves nothing, as its version does not rise. A call sent while the platform may be away does not wait; an answer has 0.3 s, and more where the platform is slow. Who hears of a newer configuration reads it at once, or fetches it from that peer where the platform doesn't answer or shows an old view; a peer that doesn't give it no longer keeps others from being asked.

The planted fault TakeBackConfig was found only because a peer was not asked twice for one version; its check now looks at every millisecond.

Ruled out: shorter polls at every instance, one call a second each: the same bound at calls that grow with the instances.

--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -1,12 +1,9 @@
 /*!
 The list of targets.
 
-Load pattern: heartbeats of the targets change the platform's table all the
-time, so following it takes a call for each look, and looks of all instances add
-up. One instance of each failure domain looks, and passes on what changed. The
-others look by themselves only once they have heard nothing newer for longer,
-each after a time of its own, so that a reader that is gone, frozen or cut off
-from the platform is replaced without any agreement.
+Heartbeats of the targets change the platform's table all the time, so following
+it takes a call for each look. The instances of each failure domain look in
+[`turn`](crate::turn), and pass on what changed.
 */
 
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
@@ -14,18 +11,17 @@
 use bluebellpath_runtime::{Instant, clock};
 use serde::{Deserialize, Serialize};
 
-use crate::Target;
+use crate::{Target, turn::Turns};
 
-/// Age at which the list is read anew by the first instance in line; half of
-/// the shortest notice, 2 s, at which a target goes.
-const PERIOD: Duration = Duration::from_millis(1_000);
-
-/// Time by which each further instance in line waits longer.
-const TURN: Duration = Duration::from_millis(500);
-
-/// Longest that an instance leaves the reading to others, in turns: within the
-/// 2.5 s for which a silent target that is no longer listed is kept.
-const MAX_TURNS: u32 = 2;
+/// Turns at reading the list: the first at half of the shortest notice, 2 s, at
+/// which a target goes; the last within the 2.5 s for which a silent target that
+/// is no longer listed is kept.
+const TURNS: Turns = Turns {
+    first: Duration::from_millis(1_000),
+    second: Duration::from_millis(1_500),
+    step: Duration::from_millis(500),
+    last: Duration::from_millis(2_000),
+};
 
 /// What changed in the list between two of its versions.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -111,9 +107,6 @@
     /// Time until the list should be read by the instance that is at `place` in
     /// line, 0 first.
     pub fn due(&self, place: usize) -> Duration {
-        let turns = u32::try_from(place).unwrap_or(MAX_TURNS).min(MAX_TURNS);
-        self.renewed.map_or(Duration::ZERO, |renewed| {
-            (renewed + PERIOD + TURN * turns).saturating_since(clock::now())
-        })
+        TURNS.due(self.renewed, place)
     }
 }
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -8,6 +8,21 @@
 
 use std::{rc::Rc, time::Duration};
 
+use serde::{Deserialize, Serialize};
+
+/// Newest configuration that the platform showed to somebody.
+///
+/// Of two sightings of the same configuration the one at the higher platform
+/// version is the later one, whoever made it. A view that stands still gives no
+/// later ones.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sighting {
+    /// Version of the configuration.
+    pub version: u64,
+    /// Version of the platform's tables at which it was the newest.
+    pub platform: u64,
+}
+
 /// Queue, found by host and path.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Queue {
--- a/crates/fleet/src/follow.rs
+++ b/crates/fleet/src/follow.rs
@@ -3,6 +3,12 @@
 
 A [`Follower`] reads one table whole and then asks for what changed. While the
 platform is away the last known state stays in use.
+
+A call that waits for a change and one whose answer was lost look the same until
+the wait is over. So nothing that must be known in time hangs on one call: the
+wait is a part of that time, a call that is sent while the platform may still be
+away does not wait, and what is known is read again once it is too old
+([`turn`](crate::turn)), whichever call or peer should have brought it.
 */
 
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
@@ -11,16 +17,21 @@
 use derive_more::{Display, Error};
 use slog::{Logger, info, warn};
 
-use crate::{Target, node::Node};
+use crate::{Target, node::Node, turn::Turns};
+
+/// Shortest time for an answer, some hundred times the usual.
+const ANSWER: Duration = Duration::from_millis(300);
 
-/// Time for an answer, beyond the wait that was asked for.
-const ANSWER: Duration = Duration::from_millis(1_500);
+/// Longest time for an answer, where the platform is slow; with the longest
+/// pause it ends within the 3 s after which the platform counts as back.
+const MAX_ANSWER: Duration = Duration::from_millis(1_500);
 
-/// Longest wait for a change of the configuration.
-const CONFIGURATION: Duration = Duration::from_secs(8);
+/// Time for an answer in times of the last one's.
+const ANSWER_FACTOR: u32 = 3;
 
-/// Longest wait for a change of the instances, which make themselves known to
-/// all others when they start; this is for one that was missed.
+/// Longest wait for a change of the instances. Each writes its own row before it
+/// reads the others', so that of two the later one knows the earlier and its
+/// beacons make it known; the wait is for a row that was written late.
 const INSTANCES: Duration = Duration::from_secs(24);
 
 /// First pause after a call failed.
@@ -30,6 +41,41 @@
 /// configuration must be in force.
 const MAX_PAUSE: Duration = Duration::from_millis(600);
 
+/// Timing of the configuration, in parts of the time in which a new one must be
+/// in force. Two beacons may be late or lost, which takes a fifth of 2 s, before
+/// an instance reads by itself; then one call and its repetition end in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timing {
+    /// Longest wait of the first in line for a change.
+    pub hold: Duration,
+    /// Ages at which the others read.
+    pub turns: Turns,
+}
+
+impl Timing {
+    /// Part for the wait of the first in line.
+    const HOLD: f64 = 0.3;
+
+    /// Part after which the second in line reads, beyond a wait and two beacons.
+    const SECOND: f64 = 0.5;
+
+    /// Part by which the third waits longer, for the second to tell it.
+    const STEP: f64 = 0.05;
+
+    /// Timing for configurations that must be in force within `apply`.
+    pub fn within(apply: Duration) -> Timing {
+        Timing {
+            hold: apply.mul_f64(Timing::HOLD),
+            turns: Turns {
+                first: Duration::ZERO,
+                second: apply.mul_f64(Timing::SECOND),
+                step: apply.mul_f64(Timing::STEP),
+                last: apply.mul_f64(Timing::SECOND + Timing::STEP),
+            },
+        }
+    }
+}
+
 /// What is asked of a table.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ask {
@@ -59,9 +105,15 @@
     /// Changes since that version are no longer kept.
     #[display("history is no longer available")]
     Compacted,
-    /// No answer, or one that is of no use.
+    /// No answer, or none in time.
     #[display("{detail}")]
-    Failed {
+    Lost {
+        /// Call and cause.
+        detail: String,
+    },
+    /// Refused, or answered with something of no use.
+    #[display("{detail}")]
+    Refused {
         /// Call and cause.
         detail: String,
     },
@@ -104,10 +156,14 @@
     table: Rc<T>,
     instance: Rc<str>,
     log: Logger,
+    /// Time for the next answer.
+    limit: Cell<Duration>,
     pause: Cell<Duration>,
     /// When the first of the calls was sent that failed one after the other,
     /// and their number.
     lost: Cell<Option<(Instant, u32)>>,
+    /// True while the whole table was the last that was read.
+    listed: Cell<bool>,
 }
 
 impl<T: Table + ?Sized> Follower<T> {
@@ -116,21 +172,24 @@
             table,
             instance: instance.clone(),
             log: log.clone(),
+            limit: Cell::new(ANSWER),
             pause: Cell::new(Duration::ZERO),
             lost: Cell::new(None),
+            listed: Cell::new(false),
         }
     }
 
+    /// True from a call that failed to the next that is answered.
+    fn is_lost(&self) -> bool {
+        self.lost.get().is_some()
+    }
+
     /// Whole table, tried until the platform gives it.
     async fn list(&self) -> Page<T::Row> {
         loop {
-            let sent = clock::now();
-            match self.table.read(Ask::All, ANSWER).await {
-                Ok(page) => {
-                    self.regained();
-                    return page;
-                }
-                Err(fault) => self.failed(&fault, sent).await,
+            match self.read(Ask::All).await {
+                Ok(page) => return page,
+                Err(_) => self.rest().await,
             }
         }
     }
@@ -138,41 +197,78 @@
     /// Changes after `version`; `None` where the table must be read anew.
     async fn changes(&self, after: u64, wait: Duration) -> Option<Page<T::Row>> {
         loop {
-            let sent = clock::now();
-            match self.table.read(Ask::Changes { after, wait }, ANSWER).await {
-                Ok(page) => {
-                    self.regained();
-                    return Some(page);
+            match self.read(Ask::Changes { after, wait }).await {
+                Ok(page) => return Some(page),
+                Err(Fault::Compacted) => return None,
+                Err(_) => self.rest().await,
+            }
+        }
+    }
+
+    /// Makes one call and notes how it ended.
+    async fn read(&self, ask: Ask) -> Result<Page<T::Row>, Fault> {
+        let ask = match ask {
+            // Its loss would show only after the wait.
+            Ask::Changes { after, .. } if self.is_lost() => Ask::Changes {
+                after,
+                wait: Duration::ZERO,
+            },
+            ask => ask,
+        };
+        let sent = clock::now();
+        let answer = self.table.read(ask, self.limit.get()).await;
+        let took = clock::now() - sent;
+        match &answer {
+            Ok(_) => {
+                self.answered(took);
+                if !matches!(ask, Ask::Changes { wait, .. } if !wait.is_zero()) {
+                    let limit = took.saturating_mul(ANSWER_FACTOR);
+                    self.limit.set(limit.clamp(ANSWER, MAX_ANSWER));
                 }
-                Err(Fault::Compacted) => {
-                    info!(self.log, "history dropped, reading anew";
-                        "table" => self.table.name(), "after" => after);
-                    return None;
+                self.listed.set(ask == Ask::All);
+            }
+            Err(Fault::Compacted) => {
+                info!(self.log, "history dropped, reading anew";
+                    "table" => self.table.name(), "ask" => ?ask);
+                // A whole table that is older than the history is of an old view.
+                if self.listed.replace(false) {
+                    clock::sleep(FIRST_PAUSE).await;
                 }
-                Err(fault) => self.failed(&fault, sent).await,
             }
+            Err(fault) => self.failed(fault, took),
         }
+        answer
     }
 
-    fn regained(&self) {
+    fn answered(&self, took: Duration) {
         self.pause.set(Duration::ZERO);
         if let Some((since, calls)) = self.lost.take() {
             info!(self.log, "store answers again"; "table" => self.table.name(),
-                "calls" => calls, "lost_ms" => (clock::now() - since).as_millis());
+                "calls" => calls, "lost_ms" => (clock::now() - since).as_millis(),
+                "took_ms" => took.as_millis());
         }
     }
 
-    /// Notes that the call sent at `sent` failed, and pauses.
-    async fn failed(&self, fault: &Fault, sent: Instant) {
-        let (since, calls) = self.lost.get().unwrap_or((sent, 0));
+    /// Notes that a call failed that took `took`.
+    fn failed(&self, fault: &Fault, took: Duration) {
+        let now = clock::now();
+        let (since, calls) = self.lost.get().unwrap_or((now, 0));
         self.lost.set(Some((since, calls + 1)));
         let pause = (self.pause.get() * 2).clamp(FIRST_PAUSE, MAX_PAUSE);
         self.pause.set(pause);
-        let pause = pause.mul_f64(self.spread(calls));
+        if let Fault::Lost { .. } = fault {
+            // The platform may only be slow.
+            self.limit.set((self.limit.get() * 2).min(MAX_ANSWER));
+        }
         warn!(self.log, "store lost"; "table" => self.table.name(), "error" => %fault,
-            "calls" => calls + 1, "waited_ms" => (clock::now() - sent).as_millis(),
-            "pause_ms" => pause.as_millis());
-        clock::sleep(pause).await;
+            "calls" => calls + 1, "waited_ms" => took.as_millis(),
+            "limit_ms" => self.limit.get().as_millis(), "pause_ms" => pause.as_millis());
+    }
+
+    /// Pauses after a call that failed.
+    async fn rest(&self) {
+        let calls = self.lost.get().map_or(0, |it| it.1);
+        clock::sleep(self.pause.get().mul_f64(self.spread(calls))).await;
     }
 
     /// Part of a pause, from a half to the whole: instances that lost the
@@ -187,24 +283,57 @@
 }
 
 /// Follows the configuration for `node` for ever.
+///
+/// Two tasks: one reads when it is this instance's turn, the other when a peer
+/// knows a newer configuration.
 pub fn configuration(node: &Rc<Node>, table: Rc<dyn Table<Row = Document>>, log: &Logger) {
-    let follower = Follower::new(table, node.name(), log);
-    let node = node.clone();
-    drop(spawn(async move {
-        loop {
-            let mut page = follower.list().await;
-            loop {
-                node.note_config_told();
-                for document in &page.rows {
-                    node.offer(document, "store");
-                }
-                match follower.changes(page.version, CONFIGURATION).await {
-                    Some(changes) => page = changes,
-                    None => break,
-                }
+    let follower = Rc::new(Follower::new(table, node.name(), log));
+    drop(spawn(in_turn(node.clone(), follower.clone())));
+    drop(spawn(at_word(node.clone(), follower)));
+}
+
+/// Reads the configuration whenever it is the turn of `node`.
+async fn in_turn(node: Rc<Node>, follower: Rc<Follower<dyn Table<Row = Document>>>) {
+    let mut ask = Ask::All;
+    loop {
+        let wait = node.config_due().await;
+        if let Ask::Changes { .. } = ask {
+            // Peers may have seen it later than this instance has.
+            let after = node.config_seen().platform;
+            ask = Ask::Changes { after, wait };
+        }
+        match follower.read(ask).await {
+            Ok(page) => {
+                node.take_configuration(&page);
+                ask = Ask::Changes {
+                    after: page.version,
+                    wait,
+                };
             }
+            Err(Fault::Compacted) => ask = Ask::All,
+            Err(_) => follower.rest().await,
         }
-    }));
+    }
+}
+
+/// Fetches the configuration whenever a peer knows a newer one.
+///
+/// From the platform, as all ask at once and one instance's link is narrow; from
+/// the peer where the platform does not answer here, or shows an old view.
+async fn at_word(node: Rc<Node>, follower: Rc<Follower<dyn Table<Row = Document>>>) {
+    loop {
+        let word = node.config_word().await;
+        let after = node.config_seen().platform;
+        if after > 0 && !follower.is_lost() {
+            let wait = Duration::ZERO;
+            if let Ok(page) = follower.read(Ask::Changes { after, wait }).await {
+                node.take_configuration(&page);
+            }
+        }
+        if node.config_seen().version < word.version {
+            node.fetch_config(word, ANSWER).await;
+        }
+    }
 }
 
 /// Follows the list of targets for `node` for ever.
@@ -236,10 +365,11 @@
     drop(spawn(async move {
         loop {
             let sent = clock::now();
-            match follower.table.register(ANSWER).await {
+            match follower.table.register(follower.limit.get()).await {
                 Ok(()) => break,
-                Err(fault) => follower.failed(&fault, sent).await,
+                Err(fault) => follower.failed(&fault, clock::now() - sent),
             }
+            follower.rest().await;
         }
         loop {
             let mut page = follower.list().await;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,7 +16,8 @@
 * [`follow`]: how the platform's tables are followed.
 * [`catalog`], [`config`]: the targets listed, and the queues in force.
 * [`member`]: the other instances, their load and whether they live.
-* [`handover`], [`queue`], [`room`], [`admission`], [`speed`], [`trust`]: decisions without I/O.
+* [`handover`], [`queue`], [`room`], [`admission`], [`speed`], [`trust`], [`turn`]: decisions
+  without I/O.
 
 Nothing here does I/O of its own: targets are met behind [`orders::Orders`],
 instances behind [`member::Peers`] and the platform behind [`follow::Table`].
@@ -42,6 +43,7 @@
 pub mod trust;
 mod target;
 mod task;
+pub mod turn;
 pub mod work;
 
 pub use planted::Planted;
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -15,6 +15,7 @@
 use crate::{
     Job, Task,
     catalog::Delta,
+    config::Sighting,
     ownership::{self, Candidate},
     work::{Ending, Load, Order, Stamp},
 };
@@ -42,8 +43,8 @@
     pub load: Load,
     /// Tags of the targets that it holds.
     pub held: Vec<u32>,
-    /// Configuration version that it knows.
-    pub config: u64,
+    /// Configuration that it knows to be the newest.
+    pub config: Sighting,
 }
 
 /// Request to another instance.
@@ -264,6 +265,13 @@
             .collect()
     }
 
+    /// Number of peers that live and come before `name`.
+    pub fn place(&self, name: &str) -> usize {
+        let peers = self.peers.borrow();
+        let alive = peers.iter().filter(|it| it.1.alive);
+        alive.filter(|it| **it.0 < *name).count()
+    }
+
     /// Age of the oldest load of a peer that lives.
     pub fn oldest(&self) -> Duration {
         let now = clock::now();
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -14,13 +14,14 @@
     time::Duration,
 };
 
-use bluebellpath_runtime::{Instant, LocalFuture, clock, spawn};
+use bluebellpath_runtime::{Instant, LocalFuture, Notify, clock, spawn};
 use slog::{Logger, info, warn};
 
 use crate::{
     Planted, Target,
     catalog::{Catalog, Delta},
-    config::Config as Queues,
+    config::{Config as Queues, Sighting},
+    follow::{Document, Page, Timing},
     front::{self, Front},
     keeper::{self, Keeper, Parting},
     member::{self, Beacon, Change, Peers, Reply, Request, Roster},
@@ -63,10 +64,21 @@
     pub member: member::Config,
     /// Time after which a run that nobody has found is over.
     pub orphan: Duration,
+    /// Time in which a configuration must be in force.
+    pub apply: Duration,
     /// Fault planted by a test.
     pub planted: Option<Planted>,
 }
 
+/// Word of a peer that knows a newer configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Word {
+    /// Its version.
+    pub version: u64,
+    /// The peer.
+    pub peer: SocketAddr,
+}
+
 /// One entry instance.
 pub struct Node {
     config: Config,
@@ -79,9 +91,12 @@
     log: Logger,
     catalog: RefCell<Catalog>,
     queues: RefCell<Rc<Queues>>,
-    asked_config: Cell<u64>,
-    /// When the platform last said what the newest configuration is.
-    config_told: Cell<Instant>,
+    /// Version of the platform's tables at which the configuration in force was
+    /// the newest, and when that was learnt.
+    config_seen: Cell<(u64, Option<Instant>)>,
+    /// Peer's word of a newer configuration.
+    config_word: Cell<Option<Word>>,
+    config_heard: Notify,
     sequence: Cell<u64>,
     leaving: Cell<bool>,
     started: Instant,
@@ -128,8 +143,9 @@
             log,
             catalog: RefCell::default(),
             queues: RefCell::default(),
-            asked_config: Cell::new(0),
-            config_told: Cell::new(clock::now()),
+            config_seen: Cell::default(),
+            config_word: Cell::default(),
+            config_heard: Notify::new(),
             sequence: Cell::new(0),
             leaving: Cell::new(false),
             started: clock::now(),
@@ -162,14 +178,66 @@
         self.queues.borrow().clone()
     }
 
-    /// Notes that the platform has just said what the newest configuration is.
-    pub fn note_config_told(&self) {
-        self.config_told.set(clock::now());
+    /// Configuration in force, and where it was last seen to be the newest.
+    pub fn config_seen(&self) -> Sighting {
+        Sighting {
+            version: self.queues.borrow().version,
+            platform: self.config_seen.get().0,
+        }
     }
 
-    /// Time since the platform last said what the newest configuration is.
+    /// Time since the configuration in force was last learnt to be the newest.
     pub fn config_age(&self) -> Duration {
-        clock::now() - self.config_told.get()
+        let learnt = self.config_seen.get().1.unwrap_or(self.started);
+        clock::now() - learnt
+    }
+
+    /// Waits until it is this instance's turn to ask the platform for the
+    /// configuration; says for how long to wait for a change.
+    pub async fn config_due(&self) -> Duration {
+        let timing = Timing::within(self.config.apply);
+        loop {
+            let place = self.roster.place(&self.config.name);
+            let due = timing.turns.due(self.config_seen.get().1, place);
+            if !due.is_zero() {
+                clock::sleep(due).await;
+                continue;
+            }
+            if place == 0 {
+                return timing.hold;
+            }
+            info!(self.log, "configuration not renewed by others, reading it"; "place" => place,
+                "age_ms" => self.config_age().as_millis(), "version" => self.queues().version);
+            return Duration::ZERO;
+        }
+    }
+
+    /// Waits for a peer that knows a newer configuration.
+    pub async fn config_word(&self) -> Word {
+        loop {
+            let heard = self.config_heard.notified();
+            let word = self.config_word.take();
+            if let Some(word) = word.filter(|it| it.version > self.queues.borrow().version) {
+                return word;
+            }
+            heard.await;
+        }
+    }
+
+    /// Takes in what the platform said of the configuration.
+    pub fn take_configuration(&self, page: &Page<Document>) {
+        let readable = page.rows.iter().all(|it| self.offer(it, "store"));
+        if readable {
+            self.renew_config(page.version);
+        }
+    }
+
+    /// Notes that the configuration in force is the newest at this version of
+    /// the platform's tables.
+    fn renew_config(&self, platform: u64) {
+        if platform > self.config_seen.get().0 {
+            self.config_seen.set((platform, Some(clock::now())));
+        }
     }
 
     /// Wall time of the start of this instance, in milliseconds.
@@ -263,33 +331,39 @@
     }
 
     /// Takes in a configuration document; an older version than the one in
-    /// force changes nothing.
-    pub fn offer(&self, document: &str, source: &str) {
+    /// force changes nothing. False where it can't be read.
+    pub fn offer(&self, document: &str, source: &str) -> bool {
         let queues = match (self.decode)(document) {
             Ok(queues) => queues,
             Err(error) => {
                 warn!(self.log, "configuration can't be read"; "source" => source,
                     "error" => error);
-                return;
+                return false;
             }
         };
         let before = self.queues.borrow().version;
         let older = queues.version <= before;
         if older && self.config.planted != Some(Planted::TakeBackConfig) {
-            return;
+            return true;
         }
         info!(self.log, "configuration in force"; "version" => queues.version,
             "before" => before, "source" => source, "queues" => queues.queues.len());
         *self.queues.borrow_mut() = Rc::new(queues);
         self.send_beacons();
+        true
     }
 
     /// Takes in a beacon of a peer.
     pub fn hear(self: &Rc<Self>, beacon: Beacon) {
-        let newer = beacon.config > self.queues.borrow().version;
-        if newer && self.asked_config.get() < beacon.config {
-            self.asked_config.set(beacon.config);
-            self.fetch_config(beacon.address);
+        let own = self.queues.borrow().version;
+        if beacon.config.version > own {
+            self.config_word.set(Some(Word {
+                version: beacon.config.version,
+                peer: beacon.address,
+            }));
+            self.config_heard.notify();
+        } else if beacon.config.version == own {
+            self.renew_config(beacon.config.platform);
         }
         let changes = self.roster.hear(beacon);
         if changes.iter().any(|it| matches!(it, Change::Joined(_))) {
@@ -351,16 +425,16 @@
         self.keeper.leave();
     }
 
-    fn fetch_config(self: &Rc<Self>, peer: SocketAddr) {
+    /// Takes a newer configuration from a peer, within `limit`. One that does
+    /// not give it is asked again at its next beacon, if no other is before.
+    pub async fn fetch_config(&self, word: Word, limit: Duration) {
         let after = self.queues.borrow().version;
-        let call = self.peers.call(peer, Request::Config { after });
-        let node = self.clone();
-        drop(spawn(async move {
-            match call.await {
-                Ok(Reply::Config(Some(document))) => node.offer(&document, "peer"),
-                _ => node.asked_config.set(0),
-            }
-        }));
+        let call = self.peers.call(word.peer, Request::Config { after });
+        match clock::timeout(limit, call).await {
+            Some(Ok(Reply::Config(Some(document)))) => drop(self.offer(&document, "peer")),
+            answer => warn!(self.log, "no configuration from a peer"; "peer" => %word.peer,
+                "version" => word.version, "in_force" => after, "answer" => ?answer),
+        }
     }
 
     fn note(&self, changes: Vec<Change>) {
@@ -439,7 +513,7 @@
                 .iter()
                 .map(|it| Target::tag(it))
                 .collect(),
-            config: self.queues.borrow().version,
+            config: self.config_seen(),
         };
         let far: Vec<SocketAddr> = {
             let alive = self.roster.alive();
--- /dev/null
+++ b/crates/fleet/src/turn.rs
@@ -0,0 +1,49 @@
+/*!
+Whose turn it is to read a table of the platform.
+
+Load pattern: each call to the platform is paid for, and what all instances
+would read is the same. One instance reads, and tells the others what it learnt.
+These read by themselves only once they have been told nothing newer for longer,
+each after a time of its own, so that a reader that is gone, frozen, cut off from
+the platform, shown an old view or waiting for an answer that was lost is
+replaced without any agreement.
+*/
+
+use std::time::Duration;
+
+use bluebellpath_runtime::{Instant, clock};
+
+/// Ages of what is known at which each instance reads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Turns {
+    /// Age for the first in line.
+    pub first: Duration,
+    /// Age for the second.
+    pub second: Duration,
+    /// Time by which each further one waits longer.
+    pub step: Duration,
+    /// Longest that any waits.
+    pub last: Duration,
+}
+
+impl Turns {
+    /// Time until the instance at `place` in line, 0 first, should read what
+    /// was last known to be true at `renewed`.
+    pub fn due(&self, renewed: Option<Instant>, place: usize) -> Duration {
+        renewed.map_or(Duration::ZERO, |renewed| {
+            (renewed + self.age(place)).saturating_since(clock::now())
+        })
+    }
+
+    /// Age at which the instance at `place` in line reads.
+    pub fn age(&self, place: usize) -> Duration {
+        let Some(further) = place.checked_sub(1) else {
+            return self.first;
+        };
+        let further = u32::try_from(further).unwrap_or(u32::MAX);
+        let age = self
+            .second
+            .saturating_add(self.step.saturating_mul(further));
+        age.min(self.last)
+    }
+}
--- a/crates/fleet/tests/decisions.rs
+++ b/crates/fleet/tests/decisions.rs
@@ -12,6 +12,7 @@
     room,
     speed::Speed,
     trust::Trust,
+    turn::Turns,
     work::Load,
 };
 use bluebellpath_runtime::Instant;
@@ -66,6 +67,49 @@
     }
 }
 
+#[test]
+fn instances_further_back_in_line_wait_longer_up_to_a_limit() {
+    struct Case {
+        place: usize,
+        age_ms: u64,
+    }
+    const CASES: [Case; 6] = [
+        Case {
+            place: 0,
+            age_ms: 100,
+        },
+        Case {
+            place: 1,
+            age_ms: 900,
+        },
+        Case {
+            place: 2,
+            age_ms: 950,
+        },
+        Case {
+            place: 3,
+            age_ms: 1_000,
+        },
+        Case {
+            place: 4,
+            age_ms: 1_000,
+        },
+        Case {
+            place: usize::MAX,
+            age_ms: 1_000,
+        },
+    ];
+    let turns = Turns {
+        first: ms(100),
+        second: ms(900),
+        step: ms(50),
+        last: ms(1_000),
+    };
+    for case in CASES {
+        assert_eq!(turns.age(case.place), ms(case.age_ms), "{}", case.place);
+    }
+}
+
 quickcheck! {
     fn every_job_is_read_back(id: u64) -> bool {
         Job(id).to_string().parse() == Ok(Job(id))
--- a/crates/fleet/tests/sessions/config.rs
+++ b/crates/fleet/tests/sessions/config.rs
@@ -1,6 +1,6 @@
 //! Configurations come into force in time, whatever becomes of calls.
 
-use bluebellpath_runtime::runtime;
+use bluebellpath_runtime::{clock, runtime};
 
 use crate::system::{SMALL, System, wait};
 
@@ -78,3 +78,113 @@
         .collect();
     assert!(found.is_empty(), "{}: {found:#?}", found.len());
 }
+
+/// Trouble that lasts while the configuration changes.
+struct Lasting {
+    name: &'static str,
+    begin: fn(&System),
+    /// Instance that learns of the change only once it is thawed.
+    frozen: Option<usize>,
+}
+
+const LASTING: [Lasting; 6] = [
+    Lasting {
+        name: "the store answers neither of two that read first",
+        begin: |system| system.configurations.lose([0, 1]),
+        frozen: None,
+    },
+    Lasting {
+        name: "the first in line sees an old view",
+        begin: |system| system.configurations.stand_still(0),
+        frozen: None,
+    },
+    Lasting {
+        name: "all but the last see an old view",
+        begin: |system| (0..3).for_each(|it| system.configurations.stand_still(it)),
+        frozen: None,
+    },
+    Lasting {
+        name: "a domain is cut off from the other",
+        begin: |system| system.cut("domain-1", true),
+        frozen: None,
+    },
+    Lasting {
+        name: "the first in line is frozen",
+        begin: |system| system.freeze(0),
+        frozen: Some(0),
+    },
+    Lasting {
+        name: "the store answers only the last, and one's connection to it is silent",
+        begin: |system| {
+            system.configurations.lose(0..3);
+            let address = |number: usize| system.instances[number].address;
+            system.mesh.silence(address(0), address(3));
+        },
+        frozen: None,
+    },
+];
+
+#[test]
+fn a_configuration_takes_another_way_where_one_is_blocked() {
+    for lasting in LASTING {
+        let Lasting {
+            name,
+            begin,
+            frozen,
+        } = lasting;
+        for phase_ms in [0, 350, 900, 3_100] {
+            runtime::paused(async move {
+                let system = System::start(SMALL).await;
+                system.configure(1);
+                wait(200 + phase_ms).await;
+                begin(&system);
+                wait(CALM_MS).await;
+                system.configure(2);
+                wait(APPLY_MS).await;
+                let due = system.versions().into_iter().enumerate();
+                let late: Vec<_> = due.filter(|it| frozen != Some(it.0) && it.1 != 2).collect();
+                assert!(late.is_empty(), "{name}, {phase_ms}: {late:?}");
+                if let Some(frozen) = frozen {
+                    system.thaw(frozen);
+                    wait(APPLY_MS).await;
+                    assert_eq!(system.versions(), [2; 4], "{name}, {phase_ms}");
+                }
+            });
+        }
+    }
+}
+
+#[test]
+fn a_table_that_shows_a_dropped_history_is_read_anew() {
+    runtime::paused(async {
+        let system = System::start(SMALL).await;
+        system.configure(1);
+        wait(400).await;
+        system.configure(2);
+        system.configurations.compact();
+        wait(APPLY_MS).await;
+        assert_eq!(system.versions(), [2; 4]);
+    });
+}
+
+/// Most calls a second for the configuration: the share of the store's calls that
+/// a deployment may make, ten, that is left beside the list of targets.
+const MAX_CALLS_PER_S: u64 = 3;
+
+#[test]
+fn calm_configurations_are_read_by_one_instance() {
+    runtime::paused(async {
+        let system = System::start(SMALL).await;
+        system.configure(1);
+        wait(1_000).await;
+        let (before, since) = (system.configurations.calls(), clock::now());
+        wait(20_000).await;
+        let calls = u64::from(system.configurations.calls() - before);
+        let seconds = (clock::now() - since).as_secs();
+        assert!(
+            calls <= MAX_CALLS_PER_S * seconds,
+            "{calls} calls in {seconds} s"
+        );
+        println!("{calls} calls in {seconds} s");
+    });
+}
--- a/crates/fleet/tests/sessions/planted.rs
+++ b/crates/fleet/tests/sessions/planted.rs
@@ -71,16 +71,25 @@
     assert!(!planted.is_empty(), "the planted fault was not found");
 }
 
-/// Versions in force at all instances after a newer and an older one came.
+/// Lowest versions that were in force at all instances once a newer one had
+/// spread, and an older one came to one of them.
 fn versions(planted: Option<Planted>) -> Vec<u64> {
     runtime::paused(async move {
         let system = System::start_with(SMALL, planted).await;
         system.instances[0].node.offer("7", "store");
         wait(1_000).await;
+        let mut lowest = system.versions();
         system.instances[1].node.offer("6", "store");
-        wait(1_000).await;
-        let nodes = system.instances.iter().map(|it| &it.node);
-        nodes.map(|it| it.queues().version).collect()
+        for _ in 0..1_000 {
+            let versions = system.versions().into_iter();
+            lowest = lowest
+                .into_iter()
+                .zip(versions)
+                .map(|it| it.0.min(it.1))
+                .collect();
+            wait(1).await;
+        }
+        lowest
     })
 }
 
--- a/crates/fleet/tests/sessions/system.rs
+++ b/crates/fleet/tests/sessions/system.rs
@@ -124,6 +124,7 @@
                 silence: Duration::from_millis(550),
             },
             orphan: Duration::from_millis(2_000),
+            apply: Duration::from_millis(2_000),
             planted: self.planted,
         };
         let side = Rc::new(self.mesh.side(address));
--- a/crates/standin/src/feed.rs
+++ b/crates/standin/src/feed.rs
@@ -182,7 +182,7 @@
             };
             let answer = clock::timeout(limit, std::pin::pin!(answering)).await;
             answer.unwrap_or_else(|| {
-                Err(Fault::Failed {
+                Err(Fault::Lost {
                     detail: "timed out".to_owned(),
                 })
             })
--- a/crates/standin/src/mesh.rs
+++ b/crates/standin/src/mesh.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
+    future,
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -32,6 +33,7 @@
 struct Inner {
     nodes: RefCell<BTreeMap<SocketAddr, (Rc<Node>, Scope)>>,
     cuts: RefCell<BTreeSet<(SocketAddr, SocketAddr)>>,
+    silent: RefCell<BTreeSet<(SocketAddr, SocketAddr)>>,
     reset: Notify,
     calls: Cell<u64>,
 }
@@ -67,6 +69,12 @@
         }
     }
 
+    /// Loses all calls from one instance to another from now on, as a connection
+    /// does that fell silent; beacons still come.
+    pub fn silence(&self, from: SocketAddr, to: SocketAddr) {
+        self.0.silent.borrow_mut().insert((from, to));
+    }
+
     /// Resets all connections between instances.
     pub fn reset(&self) {
         self.0.reset.notify();
@@ -125,6 +133,9 @@
                 clock::sleep(HELD_UP).await;
                 return Err(Fault::Unknown);
             }
+            if mesh.0.silent.borrow().contains(&(own, to)) {
+                future::pending::<()>().await;
+            }
             let Some((node, scope)) = mesh.peer(own, to) else {
                 return Err(Fault::NotSent);
             };
