Replace connections between instances that fell silent

All calls to a peer share one connection, which counted as lost only when it was closed; one that fell silent swallowed orders, claims and configurations for up to 60 s, while heartbeats said that the peer lives.

Messages and heartbeats changed their shape, so their versions are 2: instances of both versions don't hear each other.

--- a/crates/bluebellpath/src/peer/frame.rs
+++ b/crates/bluebellpath/src/peer/frame.rs
@@ -23,7 +23,7 @@
 use super::key::{Key, TAG_BYTES};
 
 /// Version of the frames that this build speaks.
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 
 /// Largest frame in bytes, below the smallest usual path limit of UDP.
 pub const MAX_BYTES: usize = 1_200;
--- a/crates/bluebellpath/src/peer/net/config.rs
+++ b/crates/bluebellpath/src/peer/net/config.rs
@@ -11,6 +11,11 @@
     pub message: Duration,
     /// Longest wait for a reply.
     pub call: Duration,
+    /// Silence of a connection on which replies are awaited after which the
+    /// other side is asked for a sign of life.
+    pub probe: Duration,
+    /// Silence after which such a connection counts as lost.
+    pub silence: Duration,
     /// Time without calls after which the calling side closes a connection; the
     /// other side waits three times as long, so that it never closes one that
     /// is about to be used.
@@ -24,13 +29,16 @@
 }
 
 impl Default for Config {
-    /// 1 s to connect, 5 s a message, 60 s a call, 30 s idle, 8 MiB a message,
-    /// 4,096 calls on a connection, 512 connections.
+    /// 1 s to connect, 5 s a message, 60 s a call, 1 s to a probe and 4 s of
+    /// silence, 30 s idle, 8 MiB a message, 4,096 calls on a connection, 512
+    /// connections.
     fn default() -> Config {
         Config {
             connect: Duration::from_secs(1),
             message: Duration::from_secs(5),
             call: Duration::from_secs(60),
+            probe: Duration::from_secs(1),
+            silence: Duration::from_secs(4),
             idle: Duration::from_secs(30),
             message_bytes: 8 << 20,
             calls: 4_096,
--- a/crates/bluebellpath/src/peer/net/incoming.rs
+++ b/crates/bluebellpath/src/peer/net/incoming.rs
@@ -15,9 +15,9 @@
 
 use super::{
     Config,
-    wire::{self, Reader, Side, Writer},
+    wire::{self, Answered, Asked, Reader, Side, Writer},
 };
-use crate::peer::{Handler, Key, Reply, Request};
+use crate::peer::{Handler, Key};
 
 /// Accepts connections for ever and hands their requests to `handler`.
 pub(super) async fn accept(
@@ -58,13 +58,18 @@
     let limits = (config.message, config.message_bytes);
     let mut reader = Reader::new(read, session, Side::Server, limits.0, limits.1);
     let mut writer = Writer::new(write, session, Side::Server, config.message);
-    let (replies, mut replied) = mpsc::unbounded::<(u64, Reply)>();
+    let (replies, mut replied) = mpsc::unbounded::<Answered>();
     let running: Rc<Cell<usize>> = Rc::default();
     let connection = Connection::default();
     let reading = async {
         loop {
-            let (number, request) = match reader.read::<(u64, Request)>(config.idle * 3).await {
-                Ok(message) => message,
+            let (number, request) = match reader.read(config.idle * 3).await {
+                Ok(Asked::Call(number, request)) => (number, request),
+                Ok(Asked::Probe) => {
+                    // The connection may have ended meanwhile.
+                    let _ = replies.unbounded_send(Answered::Alive);
+                    continue;
+                }
                 // Replies are still to come: the caller is not idle.
                 Err(wire::Fault::TimedOut) if running.get() > 0 => continue,
                 Err(fault) => return Err(fault),
@@ -86,14 +91,14 @@
                     false => handling.await,
                 };
                 drop(slot);
-                // The connection may have ended meanwhile.
-                let _ = replies.unbounded_send((number, reply));
+                // Likewise.
+                let _ = replies.unbounded_send(Answered::Reply(number, reply));
             }));
         }
     };
     let writing = async {
-        while let Some(reply) = replied.next().await {
-            let payload = wire::encode(&reply, config.message_bytes)?;
+        while let Some(answered) = replied.next().await {
+            let payload = wire::encode(&answered, config.message_bytes)?;
             writer.write(payload).await?;
         }
         Ok(())
--- a/crates/bluebellpath/src/peer/net/outgoing.rs
+++ b/crates/bluebellpath/src/peer/net/outgoing.rs
@@ -8,17 +8,18 @@
     time::Duration,
 };
 
-use bluebellpath_runtime::{clock, spawn};
+use bluebellpath_runtime::{Instant, Notify, clock, spawn};
 use futures_channel::{mpsc, oneshot};
 use futures_util::{
     StreamExt,
     future::{Either, select},
+    stream::select as select_streams,
 };
 use monoio::{io::Splitable, net::TcpStream};
 
 use super::{
     Config,
-    wire::{self, Reader, Side, Writer},
+    wire::{self, Answered, Asked, Reader, Side, Writer},
 };
 use crate::peer::{Fault, Key, Reply, Step};
 
@@ -129,13 +130,22 @@
     queue: &mut mpsc::UnboundedReceiver<Call>,
     pending: &Pending,
 ) -> wire::Fault {
+    let (prober, probes) = mpsc::unbounded();
+    let probe = wire::encode(&Asked::Probe, config.message_bytes);
+    let probe = probe.unwrap_or_default();
     let (read, write) = stream.into_split();
     let mut writer = Writer::new(write, session, Side::Caller, config.message);
     let limits = (config.message, config.message_bytes);
     let mut reader = Reader::new(read, session, Side::Caller, limits.0, limits.1);
     let writing = async {
-        while let Some(call) = queue.next().await {
-            let message = pending.add(call);
+        // A call, or a probe where there is none.
+        let calls = queue.map(Some);
+        let mut asks = select_streams(calls, probes.map(|()| None));
+        while let Some(ask) = asks.next().await {
+            let message = match ask {
+                Some(call) => pending.add(call),
+                None => probe.clone(),
+            };
             if let Err(fault) = writer.write(message).await {
                 return fault;
             }
@@ -144,8 +154,11 @@
     };
     let reading = async {
         loop {
-            match reader.read::<(u64, Reply)>(LIFETIME).await {
-                Ok((number, reply)) => pending.answer(number, reply),
+            let message = reader.read(LIFETIME).await;
+            pending.heard.set(clock::now());
+            match message {
+                Ok(Answered::Reply(number, reply)) => pending.answer(number, reply),
+                Ok(Answered::Alive) => {}
                 Err(fault) => return fault,
             }
         }
@@ -156,12 +169,42 @@
         ended.factor_first().0
     };
     let idle = idle(pending, config.idle);
-    match select(std::pin::pin!(carrying), std::pin::pin!(idle)).await {
+    let silent = silence(pending, config, prober);
+    let over = async {
+        select(std::pin::pin!(idle), std::pin::pin!(silent)).await;
+    };
+    match select(std::pin::pin!(carrying), std::pin::pin!(over)).await {
         Either::Left((fault, _)) => fault,
         Either::Right(_) => wire::Fault::TimedOut,
     }
 }
 
+/// Ends once replies have been awaited and nothing was heard, not even the
+/// answer to a probe, for [`Config::silence`].
+///
+/// A connection may fall silent without an end: the other side may still live,
+/// and be heard in other ways.
+async fn silence(pending: &Pending, config: &Config, prober: mpsc::UnboundedSender<()>) {
+    loop {
+        let called = pending.called.notified();
+        if pending.replies.borrow().is_empty() {
+            called.await;
+            continue;
+        }
+        let since = pending.silent_since();
+        if clock::now() < since + config.probe {
+            clock::sleep_until(since + config.probe).await;
+            continue;
+        }
+        // The writing side ends with the connection.
+        let _ = prober.unbounded_send(());
+        clock::sleep_until(since + config.silence).await;
+        if !pending.replies.borrow().is_empty() && pending.silent_since() == since {
+            return;
+        }
+    }
+}
+
 /// Ends once no call was made and none waited for `limit`.
 async fn idle(pending: &Pending, limit: Duration) {
     loop {
@@ -177,6 +220,11 @@
 #[derive(Default)]
 struct Pending {
     made: Cell<u64>,
+    /// When something was last heard.
+    heard: Cell<Instant>,
+    /// When the first of the calls was written for which replies are awaited.
+    awaited: Cell<Instant>,
+    called: Notify,
     replies: RefCell<BTreeMap<u64, oneshot::Sender<Answer>>>,
 }
 
@@ -185,10 +233,18 @@
     fn add(&self, call: Call) -> Vec<u8> {
         let number = self.made.get();
         self.made.set(number + 1);
-        self.replies.borrow_mut().insert(number, call.reply);
-        let mut message = postcard::to_stdvec(&number).unwrap_or_default();
-        message.extend_from_slice(&call.request);
-        message
+        let mut replies = self.replies.borrow_mut();
+        if replies.is_empty() {
+            self.awaited.set(clock::now());
+        }
+        replies.insert(number, call.reply);
+        self.called.notify();
+        wire::call(number, &call.request)
+    }
+
+    /// Time from which something should have been heard.
+    fn silent_since(&self) -> Instant {
+        self.heard.get().max(self.awaited.get())
     }
 
     fn answer(&self, number: u64, reply: Reply) {
--- a/crates/bluebellpath/src/peer/net/wire.rs
+++ b/crates/bluebellpath/src/peer/net/wire.rs
@@ -17,12 +17,15 @@
     net::TcpStream,
 };
 use rand::RngExt;
-use serde::{Serialize, de::DeserializeOwned};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use crate::peer::key::{Key, TAG_BYTES};
+use crate::peer::{
+    Reply, Request,
+    key::{Key, TAG_BYTES},
+};
 
 /// Version of the messages that this build speaks.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 
 /// Bytes that one side adds to a connection's key.
 const NONCE_BYTES: usize = 16;
@@ -30,6 +33,9 @@
 /// Bytes of a length.
 const LENGTH_BYTES: usize = 4;
 
+/// First byte of [`Asked::Call`].
+const CALL: u8 = 0;
+
 /// Why a connection is of no use any more.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
 pub enum Fault {
@@ -53,6 +59,32 @@
     Malformed,
 }
 
+/// Message of the calling side.
+#[derive(Serialize, Deserialize)]
+pub(super) enum Asked {
+    /// Call with its number. The caller writes it in parts, see [`call`].
+    Call(u64, Request),
+    /// Asks for a sign of life.
+    Probe,
+}
+
+/// Message of the serving side.
+#[derive(Serialize, Deserialize)]
+pub(super) enum Answered {
+    /// Reply to the call with that number.
+    Reply(u64, Reply),
+    /// Sign of life.
+    Alive,
+}
+
+/// [`Asked::Call`] of an encoded request.
+pub(super) fn call(number: u64, request: &[u8]) -> Vec<u8> {
+    let mut message = vec![CALL];
+    message.extend(postcard::to_stdvec(&number).unwrap_or_default());
+    message.extend_from_slice(request);
+    message
+}
+
 /// Side of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Side {
--- a/crates/bluebellpath/tests/peer_net.rs
+++ b/crates/bluebellpath/tests/peer_net.rs
@@ -3,8 +3,12 @@
 use std::{
     cell::{Cell, RefCell},
     io::{Read, Write},
-    net::SocketAddr,
+    net::{SocketAddr, TcpStream},
     rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -155,6 +159,62 @@
     (address, thread)
 }
 
+/// Passes connections on to a server. Once `muted` is set, those that are open
+/// swallow what they get, and later ones work.
+fn muting_proxy(server: SocketAddr, muted: &Arc<AtomicBool>) -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("loopback");
+    let address = listener.local_addr().expect("bound");
+    let muted = muted.clone();
+    std::thread::spawn(move || {
+        while let Ok((near, _)) = listener.accept() {
+            let far = TcpStream::connect(server).expect("server");
+            let born_muted = muted.load(Ordering::SeqCst);
+            let clone = |it: &TcpStream| it.try_clone().expect("clone");
+            for (from, to) in [(clone(&near), clone(&far)), (far, near)] {
+                let muted = muted.clone();
+                std::thread::spawn(move || {
+                    pass(from, to, || !born_muted && muted.load(Ordering::SeqCst))
+                });
+            }
+        }
+    });
+    address
+}
+
+fn pass(mut from: TcpStream, mut to: TcpStream, is_muted: impl Fn() -> bool) {
+    let mut buffer = [0; 4_096];
+    while let Ok(length @ 1..) = from.read(&mut buffer) {
+        if !is_muted() && to.write_all(&buffer[..length]).is_err() {
+            return;
+        }
+    }
+}
+
+#[test]
+fn a_silent_connection_is_replaced_and_its_calls_are_unknown() {
+    runtime::block_on(async {
+        let config = net::Config {
+            probe: Duration::from_millis(100),
+            silence: Duration::from_millis(400),
+            ..net::Config::default()
+        };
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let client = Net::bind(address, Key::new("key"), config).expect("loopback");
+        let server = bind("key");
+        server.serve(Rc::new(Delays::default()));
+        let muted = Arc::new(AtomicBool::new(false));
+        let proxy = muting_proxy(server.address(), &muted);
+        // Longer than the silence: probes are answered.
+        let reply = client.call(proxy, fetch("1000")).await;
+        assert_eq!(reply.expect("served"), Reply::Missing);
+        muted.store(true, Ordering::SeqCst);
+        let error = client.call(proxy, fetch("0")).await.expect_err("silent");
+        assert_eq!((error.step, error.fault), (Step::Receive, Fault::Unknown));
+        let reply = client.call(proxy, fetch("0")).await;
+        assert_eq!(reply.expect("a fresh connection"), Reply::Missing);
+    });
+}
+
 #[test]
 fn a_captured_stream_can_not_be_replayed() {
     runtime::block_on(async {
