Give up a response that stops in the middle as soon as one that never comes

A connection that fell silent after the head kept the caller for up to 10 s, the limit of a whole message: nine times the lease of a target, five times the time of a configuration.

The time of a call now holds for each further part of the body as well, and for writing the request. A large body over a narrow link still has 10 s as a whole.

--- a/crates/bluebellpath/src/http/client.rs
+++ b/crates/bluebellpath/src/http/client.rs
@@ -94,7 +94,8 @@
         }))
     }
 
-    /// Sends `request` to `peer` and waits up to `timeout` for the response.
+    /// Sends `request` to `peer` and waits up to `timeout` for the response's head,
+    /// and as long again for each further part of its body.
     pub async fn send(
         &self,
         peer: SocketAddr,
@@ -291,14 +292,15 @@
             let sent = self.encoder.send_and_flush(message).await;
             sent.map_err(|_| Fault::Io)
         };
-        let sent = clock::timeout(self.limits.write, send).await;
+        let sent = clock::timeout(self.limits.write.min(timeout), send).await;
         sent.unwrap_or(Err(Fault::TimedOut))
             .map_err(failed(Step::Send, true))?;
         let head = self.reader.response_head(&self.limits, timeout).await;
         let head = head.map_err(failed(Step::Receive, true))?;
         let length = declared(&head.headers, &self.limits);
         let length = length.map_err(failed(Step::Receive, true))?;
-        let body = self.reader.body(length, &self.limits).await;
+        // A connection may fall silent in the middle of a response too.
+        let body = self.reader.body(length, &self.limits, timeout).await;
         let body = body.map_err(failed(Step::Receive, true))?;
         let close = head
             .headers
--- a/crates/bluebellpath/src/http/reader.rs
+++ b/crates/bluebellpath/src/http/reader.rs
@@ -77,12 +77,17 @@
         clock::timeout(wait, head).await.ok_or(Fault::TimedOut)?
     }
 
-    /// Reads the body of `length`.
-    pub(super) async fn body(&mut self, length: Length, limits: &Limits) -> Result<Bytes, Fault> {
+    /// Reads the body of `length`, of which the next bytes come within `silence`.
+    pub(super) async fn body(
+        &mut self,
+        length: Length,
+        limits: &Limits,
+        silence: Duration,
+    ) -> Result<Bytes, Fault> {
         let read = async {
             match length {
-                Length::Known(length) => self.known(length).await,
-                Length::Chunked => self.chunked(limits.body_bytes).await,
+                Length::Known(length) => self.known(length, silence).await,
+                Length::Chunked => self.chunked(limits.body_bytes, silence).await,
             }
         };
         clock::timeout(limits.message, read)
@@ -90,21 +95,21 @@
             .ok_or(Fault::TimedOut)?
     }
 
-    async fn known(&mut self, length: usize) -> Result<Bytes, Fault> {
+    async fn known(&mut self, length: usize, silence: Duration) -> Result<Bytes, Fault> {
         while self.buffer.len() < length {
-            self.more().await?;
+            self.more(silence).await?;
         }
         Ok(self.buffer.split_to(length).freeze())
     }
 
     /// Reads a chunked body of up to `limit` bytes, without extensions or
     /// trailers.
-    async fn chunked(&mut self, limit: usize) -> Result<Bytes, Fault> {
+    async fn chunked(&mut self, limit: usize, silence: Duration) -> Result<Bytes, Fault> {
         let mut body = BytesMut::new();
         loop {
             let mut decoder = ChunkedBodyDecoder::default();
             while self.buffer.is_empty() {
-                self.more().await?;
+                self.more(silence).await?;
             }
             // The decoder takes a chunk without a size for the last one.
             if !self.buffer[0].is_ascii_hexdigit() {
@@ -118,7 +123,7 @@
                 }
                 match decoder.decode(&mut self.buffer) {
                     Ok(Decoded::Some(chunk)) => break chunk,
-                    Ok(_) => self.more().await?,
+                    Ok(_) => self.more(silence).await?,
                     Err(_) => return Err(Fault::Malformed),
                 }
             };
@@ -130,9 +135,11 @@
         }
     }
 
-    /// Reads more input; errs at the end of the stream.
-    async fn more(&mut self) -> Result<(), Fault> {
-        match self.fill().await? {
+    /// Reads more input; errs at the end of the stream, or when none comes within
+    /// `silence`.
+    async fn more(&mut self, silence: Duration) -> Result<(), Fault> {
+        let filled = clock::timeout(silence, self.fill()).await;
+        match filled.ok_or(Fault::TimedOut)?? {
             true => Ok(()),
             // The other side may still listen for an answer.
             false => Err(Fault::Malformed),
--- a/crates/bluebellpath/src/http/server.rs
+++ b/crates/bluebellpath/src/http/server.rs
@@ -291,7 +291,7 @@
         let (result, _) = write.write_all(&b"HTTP/1.1 100 Continue\r\n\r\n"[..]).await;
         result.map_err(|_| Fault::Io)?;
     }
-    let body = reader.body(length, limits).await?;
+    let body = reader.body(length, limits, limits.message).await?;
     let keep = keeps_alive(head.version, &head.headers);
     let request = Request {
         method: head.method,
