Ask again for rare changes once another table's calls were lost

They make themselves known by heartbeats, so nobody has seen harm; an instance that was listed from an old view needs the table.

A follower whose calls are answered again now tells the others of its process, and calls that wait are made again. The frequent followers thus find out for the rare one. A follower whose call was lost asks until it is answered, also where peers have renewed what it knows.

--- a/crates/fleet/src/follow.rs
+++ b/crates/fleet/src/follow.rs
@@ -11,10 +11,11 @@
 ([`turn`](crate::turn)), whichever call or peer should have brought it.
 */
 
-use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 
-use bluebellpath_runtime::{Instant, LocalFuture, clock, spawn};
+use bluebellpath_runtime::{Instant, LocalFuture, Notify, clock, spawn};
 use derive_more::{Display, Error};
+use futures_util::future::{Either, select};
 use slog::{Logger, info, warn};
 
 use crate::{Target, node::Node, turn::Turns};
@@ -31,7 +32,7 @@
 
 /// Longest wait for a change of the instances. Each writes its own row before it
 /// reads the others', so that of two the later one knows the earlier and its
-/// beacons make it known; the wait is for a row that was written late.
+/// beacons make it known; the wait is for a row that an old view did not show.
 const INSTANCES: Duration = Duration::from_secs(24);
 
 /// First pause after a call failed.
@@ -151,6 +152,57 @@
 /// Row of an entry instance; `None` for one that is gone.
 pub type Registered = (Rc<str>, Option<SocketAddr>);
 
+/// Follows the tables for one instance.
+pub struct Follow {
+    node: Rc<Node>,
+    log: Logger,
+    regained: Rc<Notify>,
+}
+
+impl Follow {
+    /// Follows nothing yet.
+    pub fn new(node: &Rc<Node>, log: &Logger) -> Follow {
+        Follow {
+            node: node.clone(),
+            log: log.clone(),
+            regained: Rc::default(),
+        }
+    }
+
+    /// Follows the configuration for ever.
+    ///
+    /// Two tasks: one reads when it is this instance's turn, the other when a
+    /// peer knows a newer configuration.
+    pub fn configuration(&self, table: Rc<dyn Table<Row = Document>>) {
+        let follower = Rc::new(self.follower(table));
+        drop(spawn(in_turn(self.node.clone(), follower.clone())));
+        drop(spawn(at_word(self.node.clone(), follower)));
+    }
+
+    /// Follows the list of targets for ever.
+    pub fn targets(&self, table: Rc<dyn Table<Row = Listed>>) {
+        drop(spawn(targets(self.node.clone(), self.follower(table))));
+    }
+
+    /// Makes the instance known, and follows the others for ever.
+    pub fn instances(&self, table: Rc<dyn Registry>) {
+        drop(spawn(instances(self.node.clone(), self.follower(table))));
+    }
+
+    fn follower<T: Table + ?Sized>(&self, table: Rc<T>) -> Follower<T> {
+        Follower {
+            table,
+            instance: self.node.name().clone(),
+            log: self.log.clone(),
+            limit: Cell::new(ANSWER),
+            pause: Cell::new(Duration::ZERO),
+            lost: Cell::new(None),
+            listed: Cell::new(false),
+            regained: self.regained.clone(),
+        }
+    }
+}
+
 /// Follows one table.
 struct Follower<T: ?Sized> {
     table: Rc<T>,
@@ -164,21 +216,11 @@
     lost: Cell<Option<(Instant, u32)>>,
     /// True while the whole table was the last that was read.
     listed: Cell<bool>,
+    /// Told when calls for any table are answered again.
+    regained: Rc<Notify>,
 }
 
 impl<T: Table + ?Sized> Follower<T> {
-    fn new(table: Rc<T>, instance: &Rc<str>, log: &Logger) -> Follower<T> {
-        Follower {
-            table,
-            instance: instance.clone(),
-            log: log.clone(),
-            limit: Cell::new(ANSWER),
-            pause: Cell::new(Duration::ZERO),
-            lost: Cell::new(None),
-            listed: Cell::new(false),
-        }
-    }
-
     /// True from a call that failed to the next that is answered.
     fn is_lost(&self) -> bool {
         self.lost.get().is_some()
@@ -216,7 +258,7 @@
             ask => ask,
         };
         let sent = clock::now();
-        let answer = self.table.read(ask, self.limit.get()).await;
+        let answer = self.ask(ask).await;
         let took = clock::now() - sent;
         match &answer {
             Ok(_) => {
@@ -240,12 +282,26 @@
         answer
     }
 
+    /// Makes one call, and makes it again if it waits for a change while calls
+    /// for another table were lost: it may be lost as well.
+    async fn ask(&self, ask: Ask) -> Result<Page<T::Row>, Fault> {
+        loop {
+            let reading = self.table.read(ask, self.limit.get());
+            let regained = pin!(self.regained.notified());
+            match select(reading, regained).await {
+                Either::Left((answer, _)) => return answer,
+                Either::Right(_) => {}
+            }
+        }
+    }
+
     fn answered(&self, took: Duration) {
         self.pause.set(Duration::ZERO);
         if let Some((since, calls)) = self.lost.take() {
             info!(self.log, "store answers again"; "table" => self.table.name(),
                 "calls" => calls, "lost_ms" => (clock::now() - since).as_millis(),
                 "took_ms" => took.as_millis());
+            self.regained.notify();
         }
     }
 
@@ -282,21 +338,16 @@
     }
 }
 
-/// Follows the configuration for `node` for ever.
-///
-/// Two tasks: one reads when it is this instance's turn, the other when a peer
-/// knows a newer configuration.
-pub fn configuration(node: &Rc<Node>, table: Rc<dyn Table<Row = Document>>, log: &Logger) {
-    let follower = Rc::new(Follower::new(table, node.name(), log));
-    drop(spawn(in_turn(node.clone(), follower.clone())));
-    drop(spawn(at_word(node.clone(), follower)));
-}
-
 /// Reads the configuration whenever it is the turn of `node`.
 async fn in_turn(node: Rc<Node>, follower: Rc<Follower<dyn Table<Row = Document>>>) {
     let mut ask = Ask::All;
     loop {
-        let wait = node.config_due().await;
+        let wait = match follower.is_lost() {
+            // Others may renew what is known, but not show that the platform
+            // answers here again.
+            true => Duration::ZERO,
+            false => node.config_due().await,
+        };
         if let Ask::Changes { .. } = ask {
             // Peers may have seen it later than this instance has.
             let after = node.config_seen().platform;
@@ -336,55 +387,45 @@
     }
 }
 
-/// Follows the list of targets for `node` for ever.
-pub fn targets(node: &Rc<Node>, table: Rc<dyn Table<Row = Listed>>, log: &Logger) {
-    let follower = Follower::new(table, node.name(), log);
-    let node = node.clone();
-    drop(spawn(async move {
+async fn targets(node: Rc<Node>, follower: Follower<dyn Table<Row = Listed>>) {
+    loop {
+        let page = follower.list().await;
+        let listed = page.rows.into_iter();
+        let listed = listed.filter_map(|(id, target)| target.map(|it| (id, it)));
+        node.set_targets(page.version, listed.collect());
         loop {
-            let page = follower.list().await;
-            let listed = page.rows.into_iter();
-            let listed = listed.filter_map(|(id, target)| target.map(|it| (id, it)));
-            node.set_targets(page.version, listed.collect());
-            loop {
-                node.targets_due().await;
-                let version = node.targets_version().unwrap_or_default();
-                match follower.changes(version, Duration::ZERO).await {
-                    Some(page) => node.change_targets(page.version, page.rows),
-                    None => break,
-                }
+            node.targets_due().await;
+            let version = node.targets_version().unwrap_or_default();
+            match follower.changes(version, Duration::ZERO).await {
+                Some(page) => node.change_targets(page.version, page.rows),
+                None => break,
             }
         }
-    }));
+    }
 }
 
-/// Makes `node` known, and follows the other instances for ever.
-pub fn instances(node: &Rc<Node>, table: Rc<dyn Registry>, log: &Logger) {
-    let follower = Follower::new(table, node.name(), log);
-    let node = node.clone();
-    drop(spawn(async move {
-        loop {
-            let sent = clock::now();
-            match follower.table.register(follower.limit.get()).await {
-                Ok(()) => break,
-                Err(fault) => follower.failed(&fault, clock::now() - sent),
-            }
-            follower.rest().await;
+async fn instances(node: Rc<Node>, follower: Follower<dyn Registry>) {
+    loop {
+        let sent = clock::now();
+        match follower.table.register(follower.limit.get()).await {
+            Ok(()) => break,
+            Err(fault) => follower.failed(&fault, clock::now() - sent),
         }
+        follower.rest().await;
+    }
+    loop {
+        let mut page = follower.list().await;
         loop {
-            let mut page = follower.list().await;
-            loop {
-                for (name, address) in &page.rows {
-                    match address {
-                        Some(address) => node.roster().learn(*address),
-                        None => info!(follower.log, "instance left"; "instance" => &**name),
-                    }
-                }
-                match follower.changes(page.version, INSTANCES).await {
-                    Some(changes) => page = changes,
-                    None => break,
+            for (name, address) in &page.rows {
+                match address {
+                    Some(address) => node.roster().learn(*address),
+                    None => info!(follower.log, "instance left"; "instance" => &**name),
                 }
             }
+            match follower.changes(page.version, INSTANCES).await {
+                Some(changes) => page = changes,
+                None => break,
+            }
         }
-    }));
+    }
 }
--- a/crates/fleet/tests/sessions/config.rs
+++ b/crates/fleet/tests/sessions/config.rs
@@ -1,5 +1,7 @@
 //! Configurations come into force in time, whatever becomes of calls.
 
+use std::net::SocketAddr;
+
 use bluebellpath_runtime::{clock, runtime};
 
 use crate::system::{SMALL, System, wait};
@@ -188,3 +190,25 @@
         println!("{calls} calls in {seconds} s");
     });
 }
+
+#[test]
+fn a_poll_lost_with_the_store_hides_no_instance() {
+    runtime::paused(async {
+        let system = System::start(SMALL).await;
+        system.configure(1);
+        wait(3_000).await;
+        system.configurations.lose(0..4);
+        system.registry.lose(0..4);
+        wait(4_200).await;
+        system.configurations.answer();
+        system.registry.answer();
+        wait(CALM_MS).await;
+        let address = SocketAddr::from(([127, 0, 0, 1], 7_999));
+        system.registry.put("late", ("late".into(), Some(address)));
+        wait(APPLY_MS).await;
+        for instance in &system.instances {
+            let known = instance.node.roster().addresses();
+            assert!(known.contains(&address), "{}", instance.address);
+        }
+    });
+}
--- a/crates/fleet/tests/sessions/system.rs
+++ b/crates/fleet/tests/sessions/system.rs
@@ -11,7 +11,7 @@
 use bluebellpath_fleet::{
     Job, Planted, Resources, Target, Task,
     config::Config as Queues,
-    follow::{self, Document},
+    follow::{Document, Follow, Registered},
     front::{Answer, Step, Submission},
     keeper, member,
     node::{Config, Node},
@@ -63,6 +63,7 @@
     pub yard: Yard,
     pub listing: Rc<Listing>,
     pub configurations: Feed<Document>,
+    pub registry: Feed<Registered>,
     pub mesh: Mesh,
     pub instances: Vec<Instance>,
     pub answers: Answers,
@@ -86,6 +87,7 @@
             yard,
             listing: Rc::default(),
             configurations: Feed::default(),
+            registry: Feed::default(),
             mesh: Mesh::default(),
             instances: Vec::new(),
             answers: Answers::default(),
@@ -134,12 +136,15 @@
         let node = Node::new(config, orders, side, read, log.clone());
         let starting = node.clone();
         let configurations = Rc::new(self.configurations.side(number));
+        let registered = Rc::new(self.registry.member(number, &name, address));
         drop(scope.spawn(async move {
             for peer in 0..peers.domains * peers.instances {
                 starting.roster().learn(self::address(peer));
             }
             starting.start();
-            follow::configuration(&starting, configurations, &log);
+            let follow = Follow::new(&starting, &log);
+            follow.configuration(configurations);
+            follow.instances(registered);
             starting.set_targets(version(), yard.list());
             loop {
                 starting.targets_due().await;
--- a/crates/standin/src/feed.rs
+++ b/crates/standin/src/feed.rs
@@ -4,11 +4,12 @@
     cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
     future,
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
 
-use bluebellpath_fleet::follow::{Ask, Fault, Page, Table};
+use bluebellpath_fleet::follow::{Ask, Fault, Page, Registered, Registry, Table};
 use bluebellpath_runtime::{LocalFuture, Notify, clock};
 use futures_util::future::select;
 
@@ -146,6 +147,49 @@
     }
 }
 
+impl Feed<Registered> {
+    /// What the instance `number` sees of the table, with the row that it writes.
+    pub fn member(&self, number: usize, name: &str, address: SocketAddr) -> Member {
+        Member {
+            side: self.side(number),
+            row: (name.into(), Some(address)),
+        }
+    }
+}
+
+/// What one instance sees of the table of instances.
+pub struct Member {
+    side: Side<Registered>,
+    row: Registered,
+}
+
+impl Table for Member {
+    type Row = Registered;
+
+    fn name(&self) -> &'static str {
+        "instances"
+    }
+
+    fn read(
+        &self,
+        ask: Ask,
+        limit: Duration,
+    ) -> LocalFuture<'static, Result<Page<Registered>, Fault>> {
+        self.side.read(ask, limit)
+    }
+}
+
+impl Registry for Member {
+    fn register(&self, _: Duration) -> LocalFuture<'static, Result<(), Fault>> {
+        let (feed, row) = (self.side.feed.clone(), self.row.clone());
+        Box::pin(async move {
+            clock::sleep(WAY).await;
+            feed.put(&row.0.clone(), row);
+            Ok(())
+        })
+    }
+}
+
 /// What one instance sees of a table.
 pub struct Side<T> {
     feed: Feed<T>,
