Read the instance list at a steady pace, whatever becomes of one answer

A target that leaves must get nothing after 3 s.

Readings now begin each second and overlap, as those of the configuration there do already. An answer that comes after a later one changes nothing.

Overlapping answers in any order add up to the whole list (quickcheck).

--- a/crates/bluebellpath/src/entry/drains.rs
+++ b/crates/bluebellpath/src/entry/drains.rs
@@ -5,7 +5,7 @@
 use bluebellpath_runtime::clock;
 use futures_util::future::{Either, select};
 
-use super::{pump, state::State};
+use super::{state::State, targets};
 use crate::platform::Instance;
 
 /// Looks at the targets again at each change of the configuration, when it is
@@ -36,6 +36,6 @@
         .collect();
     targets.sort_by(|a, b| a.name.cmp(&b.name));
     if !targets.is_empty() {
-        pump::set_targets(state, targets);
+        targets::set_targets(state, targets);
     }
 }
--- a/crates/bluebellpath/src/entry/mod.rs
+++ b/crates/bluebellpath/src/entry/mod.rs
@@ -39,6 +39,7 @@
 mod state;
 mod submit;
 mod taken;
+mod targets;
 
 pub use config::Config;
 pub use env::Env;
@@ -87,9 +88,7 @@
         drop(bluebellpath_runtime::spawn(stall::watch(self.0.clone())));
         drop(bluebellpath_runtime::spawn(evict::run(self.0.clone())));
         drop(bluebellpath_runtime::spawn(pump::run(self.0.clone())));
-        drop(bluebellpath_runtime::spawn(pump::follow_targets(
-            self.0.clone(),
-        )));
+        drop(bluebellpath_runtime::spawn(targets::follow(self.0.clone())));
     }
 
     fn follower(&self) -> Rc<Follower> {
--- a/crates/bluebellpath/src/entry/pump.rs
+++ b/crates/bluebellpath/src/entry/pump.rs
@@ -1,6 +1,6 @@
 //! Starts what the dispatcher assigns and takes in how it ended.
 
-use std::{collections::BTreeSet, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use bluebellpath_dispatch::{self as dispatch, Assignment, Dropped, Next, NotStarted, Report};
 use bluebellpath_runtime::{clock, spawn};
@@ -15,7 +15,7 @@
 };
 use crate::{
     job::{Id, Outcome},
-    platform::{self, Instance, Role},
+    platform::Instance,
     target::{self, Fault, Reason, Start, Status},
 };
 
@@ -254,43 +254,3 @@
         }));
     }
 }
-
-/// Keeps the dispatcher's targets as the instance list has them.
-pub(super) async fn follow_targets(state: Rc<State>) {
-    let mut first = true;
-    let mut roll = platform::Roll::new(state.config.domain);
-    loop {
-        match roll.refresh(state.env.instances.as_ref()).await {
-            Ok(false) => state.listed.set(clock::now()),
-            Ok(true) => {
-                state.listed.set(clock::now());
-                let instances = roll.instances();
-                state.membership.observe(&instances);
-                let entries = instances.iter().filter(|it| it.role == Role::Entry);
-                state.platform.share(entries.count());
-                set_targets(&state, instances);
-                if std::mem::take(&mut first) {
-                    state.membership.greet(state.as_ref());
-                }
-            }
-            Err(error) => warn!(state.env.log, "no instance list"; "error" => %error),
-        }
-        clock::sleep(state.config.list_interval).await;
-    }
-}
-
-/// Gives the dispatcher the targets of this domain.
-pub(super) fn set_targets(state: &State, instances: Vec<Instance>) {
-    let ours = |it: &Instance| it.role == Role::Target && it.domain == state.config.domain;
-    let listed: Vec<Instance> = instances.into_iter().filter(ours).collect();
-    let id = |it: &Instance| dispatch::TargetId(state.target_names.number(&it.name));
-    let ids: BTreeSet<dispatch::TargetId> = listed.iter().map(id).collect();
-    let mut gone: Vec<_> = state.targets.borrow().keys().copied().collect();
-    gone.sort_unstable();
-    for target in gone.into_iter().filter(|it| !ids.contains(it)) {
-        state.dispatcher.borrow_mut().remove_target(target);
-    }
-    let targets = listed.iter().map(|it| (id(it), Rc::new(it.clone())));
-    *state.targets.borrow_mut() = targets.collect();
-    state.credit.observe(state, &listed);
-}
--- a/crates/bluebellpath/src/platform/roll.rs
+++ b/crates/bluebellpath/src/platform/roll.rs
@@ -34,15 +34,32 @@
 
     /// Reads what changed; true when something did.
     pub async fn refresh(&mut self, list: &dyn List) -> Result<bool, Error> {
-        let now = clock::now();
-        let since = self
-            .version
-            .filter(|_| now.saturating_since(self.read) < REFRESH);
-        let changes = list.changes(self.domain, since).await?;
+        let changes = list.changes(self.domain, self.since()).await?;
+        Ok(self.take(changes))
+    }
+
+    /// Version after which changes are to be asked for; `None` for all.
+    pub fn since(&self) -> Option<Version> {
+        let due = clock::now().saturating_since(self.read) >= REFRESH;
+        self.version.filter(|_| !due)
+    }
+
+    /// Takes in an answer, unless a later one came before it; true when it
+    /// changed something.
+    pub fn take(&mut self, changes: Changes) -> bool {
+        let new = changes.version;
+        let passed = match self.version {
+            Some(own) if own.epoch == new.epoch => new.number < own.number,
+            Some(_) => !changes.whole,
+            None => false,
+        };
+        if passed {
+            return false;
+        }
         if changes.whole {
-            self.read = now;
+            self.read = clock::now();
         }
-        Ok(self.apply(changes))
+        self.apply(changes)
     }
 
     /// Instances in the order of their names.
--- a/crates/bluebellpath/tests/platform_list.rs
+++ b/crates/bluebellpath/tests/platform_list.rs
@@ -75,6 +75,36 @@
     QuickCheck::new().quickcheck(check);
 }
 
+#[test]
+fn overlapping_answers_add_up_in_any_order() {
+    /// `late` says of each reading whether its answer comes after the next one's.
+    fn check(steps: Vec<u8>, late: Vec<bool>) -> TestResult {
+        runtime::paused(async move {
+            let list = Instances::new((0..10).map(instance).collect());
+            let mut roll = Roll::new(Domain::new(0));
+            let mut held = Vec::new();
+            for (step, late) in steps.iter().zip(late) {
+                list.change(|it| apply(it, *step));
+                clock::sleep(Duration::from_secs(1)).await;
+                let changes = list.changes(Domain::new(0), roll.since()).await;
+                held.push(changes.expect("up"));
+                if !late {
+                    for changes in held.drain(..).rev() {
+                        roll.take(changes);
+                    }
+                    let whole = concerned(list.instances().await.expect("up"));
+                    if roll.instances() != whole {
+                        return TestResult::failed();
+                    }
+                }
+            }
+            TestResult::passed()
+        })
+    }
+    let check: fn(Vec<u8>, Vec<bool>) -> TestResult = check;
+    QuickCheck::new().quickcheck(check);
+}
+
 #[test]
 fn another_run_of_the_list_is_read_whole() {
     runtime::paused(async {
--- a/crates/bluebellpath/tests/sharing.rs
+++ b/crates/bluebellpath/tests/sharing.rs
@@ -124,6 +124,8 @@
     name: &'static str,
     /// Lag of the list.
     lag: Duration,
+    /// A call for the list just before is lost.
+    lost: bool,
     /// The target refuses what it gets.
     refuses: bool,
     /// Starts at the target that may come after the grace.
@@ -134,12 +136,21 @@
     Leaving {
         name: "the list shows it",
         lag: Duration::ZERO,
+        lost: false,
+        refuses: false,
+        refused: 0,
+    },
+    Leaving {
+        name: "the list shows it, after an answer was lost",
+        lag: Duration::ZERO,
+        lost: true,
         refuses: false,
         refused: 0,
     },
     Leaving {
         name: "the list lags, the target refuses",
         lag: Duration::from_secs(30),
+        lost: false,
         refuses: true,
         // What each entry instance had sent before its first refusal came back.
         refused: SLOTS as u64,
@@ -153,6 +164,12 @@
             let fleet = Fleet::start(layout());
             clock::sleep(SETTLE).await;
             fleet.instances.set_lag(case.lag);
+            if case.lost {
+                let read = &fleet.instances.faults().read;
+                let usual = read.replace(Duration::from_secs(3_600));
+                clock::sleep(Duration::from_millis(1_100)).await;
+                read.set(usual);
+            }
             fleet.instances.leave("target-0-1");
             if case.refuses {
                 let behaviour = Behaviour {
