Ask the next peer for a configuration while one does not answer

With six silent connections out of seven a change that must be in force in 4 s was not.

The next peer is now asked beside one that has not answered for 0.1 s.

New test (eight instances, one cut off from the platform, its connections to six peers silent): version 1 after 4 s before, version 2 now.

--- a/crates/bluebellpath/src/config/follower.rs
+++ b/crates/bluebellpath/src/config/follower.rs
@@ -13,11 +13,12 @@
 };
 
 use bluebellpath_runtime::{Instant, clock, spawn};
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use slog::{Logger, info, warn};
 
 use super::{Accepted, Current, Document, Reading, Store, Timing, Update};
 use crate::{
-    peer::{Link, Membership, Peer, Reply, Request},
+    peer::{Heartbeat, Link, Membership, Peer, Reply, Request},
     platform::{Error, Table},
 };
 
@@ -28,6 +29,10 @@
 /// Most readings that wait for the table at once.
 const MAX_READINGS: u32 = 12;
 
+/// Time after which another peer is asked beside one that has not answered, many
+/// round trips within a domain.
+const HEDGE: Duration = Duration::from_millis(100);
+
 /// Changes read at once by an instance that lags.
 const PAGE: usize = 600;
 
@@ -199,8 +204,11 @@
     async fn spread(self: Rc<Self>) {
         loop {
             let changed = self.membership.changed().notified();
+            if self.current.is_loaded() {
+                self.catch_up().await;
+            }
             for peer in self.membership.peers() {
-                self.take(&peer).await;
+                self.observe(&peer.heartbeat);
             }
             if !self.current.is_loaded() {
                 self.bootstrap().await;
@@ -209,18 +217,37 @@
         }
     }
 
-    async fn take(&self, peer: &Peer) {
-        let heartbeat = &peer.heartbeat;
-        if !self.current.is_loaded() || heartbeat.config_version == 0 {
-            return;
+    /// Fetches what peers know and this instance does not, from one peer after
+    /// the other; one that does not answer at once holds up none of the others.
+    async fn catch_up(&self) {
+        let mut fetching = FuturesUnordered::new();
+        for peer in self.membership.peers() {
+            if peer.heartbeat.config_version <= self.current.newest() {
+                continue;
+            }
+            fetching.push(async move { self.fetch(&peer).await });
+            if let Some(Some(Some(update))) = clock::timeout(HEDGE, fetching.next()).await {
+                self.install(update);
+            }
+        }
+        let newest = || {
+            let peers = self.membership.peers().into_iter();
+            peers.map(|it| it.heartbeat.config_version).max()
+        };
+        while newest() > Some(self.current.newest()) {
+            match fetching.next().await {
+                Some(Some(update)) => self.install(update),
+                Some(None) => {}
+                None => return,
+            }
         }
-        if heartbeat.config_version > self.current.newest()
-            && let Some(update) = self.fetch(peer).await
-        {
-            self.install(update);
+    }
+
+    fn observe(&self, heartbeat: &Heartbeat) {
+        if self.current.is_loaded() && heartbeat.config_version > 0 {
+            self.current
+                .observe(heartbeat.config_version, heartbeat.config_read_ms);
         }
-        self.current
-            .observe(heartbeat.config_version, heartbeat.config_read_ms);
     }
 
     async fn fetch(&self, peer: &Peer) -> Option<Update> {
--- a/crates/bluebellpath/tests/config.rs
+++ b/crates/bluebellpath/tests/config.rs
@@ -479,6 +479,25 @@
     });
 }
 
+#[test]
+fn silent_connections_to_peers_delay_no_configuration() {
+    runtime::paused(async {
+        let fleet = Fleet::start(layout(1, 8));
+        clock::sleep(Duration::from_secs(10)).await;
+        let (last, others) = fleet.members.split_last().expect("eight");
+        last.cut.set(true);
+        // All but one that knows the change.
+        for other in &others[..6] {
+            fleet.network.silence(last.address, other.address);
+        }
+        let proposed = operation("operation-1", 1, Change::SetTeam(team("kiln-crew", 1)));
+        let proposer = proposer(&fleet.members[0].entry());
+        proposer.propose(&proposed).await.expect("one operator");
+        clock::sleep(IN_FORCE).await;
+        assert_eq!(last.entry().config().view().version, 2);
+    });
+}
+
 #[test]
 fn a_change_is_in_force_in_domains_of_every_size() {
     for entries in [7, 28, 84] {
--- a/crates/standin/src/network.rs
+++ b/crates/standin/src/network.rs
@@ -27,6 +27,7 @@
 struct Inner {
     ports: RefCell<HashMap<SocketAddr, Rc<Port>>>,
     cuts: RefCell<HashSet<(SocketAddr, SocketAddr)>>,
+    silent: RefCell<HashSet<(SocketAddr, SocketAddr)>>,
     one_way: Cell<Duration>,
     jitter: Cell<Duration>,
     seed: Cell<u64>,
@@ -84,6 +85,12 @@
         cuts.remove(&(b, a));
     }
 
+    /// Loses all calls from one instance to another from now on, as a connection
+    /// does that fell silent; datagrams still come.
+    pub fn silence(&self, from: SocketAddr, to: SocketAddr) {
+        self.0.silent.borrow_mut().insert((from, to));
+    }
+
     /// Loses this share of the datagrams, in thousandths.
     pub fn set_loss_permille(&self, loss_permille: u32) {
         self.0.loss_permille.set(loss_permille);
@@ -199,6 +206,10 @@
             let network = &self.network;
             network.0.calls.set(network.0.calls.get() + 1);
             clock::sleep(network.delay()).await;
+            if network.0.silent.borrow().contains(&(self.address, to)) {
+                clock::sleep(CALL_TIMEOUT).await;
+                return Err(self.error(Step::Receive, to, Fault::Unknown, "no reply"));
+            }
             let port = network
                 .port(to)
                 .filter(|_| !network.is_cut(self.address, to));
