Let a configuration come with the version at which it was seen

Read as a newcomer: an instance that took a configuration from a peer told others that it had been the newest at a platform version from before it existed. Nothing came of it, as the next heartbeat was right, but the claim was untrue. A hint now carries the peer's sighting, and configuration and sighting change together.

--- a/crates/fleet/src/follow.rs
+++ b/crates/fleet/src/follow.rs
@@ -63,8 +63,12 @@
     /// Part by which the third waits longer, for the second to tell it.
     const STEP: f64 = 0.05;
 
+    /// Shortest time that is kept to, so that a setting of 0 makes no busy loop.
+    const MIN_APPLY: Duration = Duration::from_millis(500);
+
     /// Timing for configurations that must be in force within `apply`.
     pub fn within(apply: Duration) -> Timing {
+        let apply = apply.max(Timing::MIN_APPLY);
         Timing {
             hold: apply.mul_f64(Timing::HOLD),
             turns: Turns {
@@ -91,6 +95,13 @@
     },
 }
 
+impl Ask {
+    /// True where the answer may wait for a change.
+    fn waits(self) -> bool {
+        matches!(self, Ask::Changes { wait, .. } if !wait.is_zero())
+    }
+}
+
 /// Rows as of one version of the platform's tables.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Page<T> {
@@ -176,7 +187,7 @@
     pub fn configuration(&self, table: Rc<dyn Table<Row = Document>>) {
         let follower = Rc::new(self.follower(table));
         drop(spawn(in_turn(self.node.clone(), follower.clone())));
-        drop(spawn(at_word(self.node.clone(), follower)));
+        drop(spawn(on_hint(self.node.clone(), follower)));
     }
 
     /// Follows the list of targets for ever.
@@ -258,18 +269,21 @@
             ask => ask,
         };
         let sent = clock::now();
-        let answer = self.ask(ask).await;
-        let took = clock::now() - sent;
+        let answer = match ask.waits() {
+            true => self.wait(ask).await,
+            false => self.table.read(ask, self.limit.get()).await,
+        };
         match &answer {
             Ok(_) => {
-                self.answered(took);
-                if !matches!(ask, Ask::Changes { wait, .. } if !wait.is_zero()) {
-                    let limit = took.saturating_mul(ANSWER_FACTOR);
+                self.answered();
+                if !ask.waits() {
+                    let limit = (clock::now() - sent).saturating_mul(ANSWER_FACTOR);
                     self.limit.set(limit.clamp(ANSWER, MAX_ANSWER));
                 }
                 self.listed.set(ask == Ask::All);
             }
             Err(Fault::Compacted) => {
+                self.answered();
                 info!(self.log, "history dropped, reading anew";
                     "table" => self.table.name(), "ask" => ?ask);
                 // A whole table that is older than the history is of an old view.
@@ -277,14 +291,14 @@
                     clock::sleep(FIRST_PAUSE).await;
                 }
             }
-            Err(fault) => self.failed(fault, took),
+            Err(fault) => self.failed(fault, sent),
         }
         answer
     }
 
-    /// Makes one call, and makes it again if it waits for a change while calls
-    /// for another table were lost: it may be lost as well.
-    async fn ask(&self, ask: Ask) -> Result<Page<T::Row>, Fault> {
+    /// Waits for a change, and asks again once calls for another table were lost
+    /// and are answered again: this one may be lost as well.
+    async fn wait(&self, ask: Ask) -> Result<Page<T::Row>, Fault> {
         loop {
             let reading = self.table.read(ask, self.limit.get());
             let regained = pin!(self.regained.notified());
@@ -295,20 +309,18 @@
         }
     }
 
-    fn answered(&self, took: Duration) {
+    fn answered(&self) {
         self.pause.set(Duration::ZERO);
         if let Some((since, calls)) = self.lost.take() {
             info!(self.log, "store answers again"; "table" => self.table.name(),
-                "calls" => calls, "lost_ms" => (clock::now() - since).as_millis(),
-                "took_ms" => took.as_millis());
+                "calls" => calls, "lost_ms" => (clock::now() - since).as_millis());
             self.regained.notify();
         }
     }
 
-    /// Notes that a call failed that took `took`.
-    fn failed(&self, fault: &Fault, took: Duration) {
-        let now = clock::now();
-        let (since, calls) = self.lost.get().unwrap_or((now, 0));
+    /// Notes that the call sent at `sent` failed.
+    fn failed(&self, fault: &Fault, sent: Instant) {
+        let (since, calls) = self.lost.get().unwrap_or((sent, 0));
         self.lost.set(Some((since, calls + 1)));
         let pause = (self.pause.get() * 2).clamp(FIRST_PAUSE, MAX_PAUSE);
         self.pause.set(pause);
@@ -317,7 +329,7 @@
             self.limit.set((self.limit.get() * 2).min(MAX_ANSWER));
         }
         warn!(self.log, "store lost"; "table" => self.table.name(), "error" => %fault,
-            "calls" => calls + 1, "waited_ms" => took.as_millis(),
+            "calls" => calls + 1, "waited_ms" => (clock::now() - sent).as_millis(),
             "limit_ms" => self.limit.get().as_millis(), "pause_ms" => pause.as_millis());
     }
 
@@ -340,7 +352,7 @@
 
 /// Reads the configuration whenever it is the turn of `node`.
 async fn in_turn(node: Rc<Node>, follower: Rc<Follower<dyn Table<Row = Document>>>) {
-    let mut ask = Ask::All;
+    let mut listed = false;
     loop {
         let wait = match follower.is_lost() {
             // Others may renew what is known, but not show that the platform
@@ -348,20 +360,18 @@
             true => Duration::ZERO,
             false => node.config_due().await,
         };
-        if let Ask::Changes { .. } = ask {
-            // Peers may have seen it later than this instance has.
-            let after = node.config_seen().platform;
-            ask = Ask::Changes { after, wait };
-        }
+        // Peers may have seen it later than this instance has.
+        let after = node.config_seen().platform;
+        let ask = match listed {
+            true => Ask::Changes { after, wait },
+            false => Ask::All,
+        };
         match follower.read(ask).await {
             Ok(page) => {
+                listed = true;
                 node.take_configuration(&page);
-                ask = Ask::Changes {
-                    after: page.version,
-                    wait,
-                };
             }
-            Err(Fault::Compacted) => ask = Ask::All,
+            Err(Fault::Compacted) => listed = false,
             Err(_) => follower.rest().await,
         }
     }
@@ -371,9 +381,9 @@
 ///
 /// From the platform, as all ask at once and one instance's link is narrow; from
 /// the peer where the platform does not answer here, or shows an old view.
-async fn at_word(node: Rc<Node>, follower: Rc<Follower<dyn Table<Row = Document>>>) {
+async fn on_hint(node: Rc<Node>, follower: Rc<Follower<dyn Table<Row = Document>>>) {
     loop {
-        let word = node.config_word().await;
+        let hint = node.config_hint().await;
         let after = node.config_seen().platform;
         if after > 0 && !follower.is_lost() {
             let wait = Duration::ZERO;
@@ -381,8 +391,8 @@
                 node.take_configuration(&page);
             }
         }
-        if node.config_seen().version < word.version {
-            node.fetch_config(word, ANSWER).await;
+        if node.config_seen().version < hint.config.version {
+            node.fetch_config(hint, ANSWER).await;
         }
     }
 }
@@ -409,7 +419,7 @@
         let sent = clock::now();
         match follower.table.register(follower.limit.get()).await {
             Ok(()) => break,
-            Err(fault) => follower.failed(&fault, clock::now() - sent),
+            Err(fault) => follower.failed(&fault, sent),
         }
         follower.rest().await;
     }
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -70,11 +70,11 @@
     pub planted: Option<Planted>,
 }
 
-/// Word of a peer that knows a newer configuration.
+/// Newer configuration that a peer knows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Word {
-    /// Its version.
-    pub version: u64,
+pub struct Hint {
+    /// What the peer knows.
+    pub config: Sighting,
     /// The peer.
     pub peer: SocketAddr,
 }
@@ -94,8 +94,8 @@
     /// Version of the platform's tables at which the configuration in force was
     /// the newest, and when that was learnt.
     config_seen: Cell<(u64, Option<Instant>)>,
-    /// Peer's word of a newer configuration.
-    config_word: Cell<Option<Word>>,
+    /// Peer that knows a newer configuration, if any was heard.
+    config_hint: Cell<Option<Hint>>,
     config_heard: Notify,
     sequence: Cell<u64>,
     leaving: Cell<bool>,
@@ -144,7 +144,7 @@
             catalog: RefCell::default(),
             queues: RefCell::default(),
             config_seen: Cell::default(),
-            config_word: Cell::default(),
+            config_hint: Cell::default(),
             config_heard: Notify::new(),
             sequence: Cell::new(0),
             leaving: Cell::new(false),
@@ -206,19 +206,22 @@
             if place == 0 {
                 return timing.hold;
             }
-            info!(self.log, "configuration not renewed by others, reading it"; "place" => place,
-                "age_ms" => self.config_age().as_millis(), "version" => self.queues().version);
+            if self.config_seen.get().1.is_some() {
+                info!(self.log, "configuration not renewed by others, reading it";
+                    "place" => place, "age_ms" => self.config_age().as_millis(),
+                    "version" => self.queues().version);
+            }
             return Duration::ZERO;
         }
     }
 
     /// Waits for a peer that knows a newer configuration.
-    pub async fn config_word(&self) -> Word {
+    pub async fn config_hint(&self) -> Hint {
         loop {
             let heard = self.config_heard.notified();
-            let word = self.config_word.take();
-            if let Some(word) = word.filter(|it| it.version > self.queues.borrow().version) {
-                return word;
+            let hint = self.config_hint.take();
+            if let Some(hint) = hint.filter(|it| it.config.version > self.queues.borrow().version) {
+                return hint;
             }
             heard.await;
         }
@@ -226,7 +229,8 @@
 
     /// Takes in what the platform said of the configuration.
     pub fn take_configuration(&self, page: &Page<Document>) {
-        let readable = page.rows.iter().all(|it| self.offer(it, "store"));
+        let mut rows = page.rows.iter();
+        let readable = rows.all(|it| self.take(it, page.version, "store"));
         if readable {
             self.renew_config(page.version);
         }
@@ -333,6 +337,12 @@
     /// Takes in a configuration document; an older version than the one in
     /// force changes nothing. False where it can't be read.
     pub fn offer(&self, document: &str, source: &str) -> bool {
+        self.take(document, 0, source)
+    }
+
+    /// Takes in a configuration document that was the newest at the version
+    /// `platform` of the platform's tables, 0 where that is not known.
+    fn take(&self, document: &str, platform: u64, source: &str) -> bool {
         let queues = match (self.decode)(document) {
             Ok(queues) => queues,
             Err(error) => {
@@ -349,6 +359,7 @@
         info!(self.log, "configuration in force"; "version" => queues.version,
             "before" => before, "source" => source, "queues" => queues.queues.len());
         *self.queues.borrow_mut() = Rc::new(queues);
+        self.renew_config(platform);
         self.send_beacons();
         true
     }
@@ -357,8 +368,8 @@
     pub fn hear(self: &Rc<Self>, beacon: Beacon) {
         let own = self.queues.borrow().version;
         if beacon.config.version > own {
-            self.config_word.set(Some(Word {
-                version: beacon.config.version,
+            self.config_hint.set(Some(Hint {
+                config: beacon.config,
                 peer: beacon.address,
             }));
             self.config_heard.notify();
@@ -427,13 +438,15 @@
 
     /// Takes a newer configuration from a peer, within `limit`. One that does
     /// not give it is asked again at its next beacon, if no other is before.
-    pub async fn fetch_config(&self, word: Word, limit: Duration) {
+    pub async fn fetch_config(&self, hint: Hint, limit: Duration) {
         let after = self.queues.borrow().version;
-        let call = self.peers.call(word.peer, Request::Config { after });
+        let call = self.peers.call(hint.peer, Request::Config { after });
         match clock::timeout(limit, call).await {
-            Some(Ok(Reply::Config(Some(document)))) => drop(self.offer(&document, "peer")),
-            answer => warn!(self.log, "no configuration from a peer"; "peer" => %word.peer,
-                "version" => word.version, "in_force" => after, "answer" => ?answer),
+            Some(Ok(Reply::Config(Some(document)))) => {
+                self.take(&document, hint.config.platform, "peer");
+            }
+            answer => warn!(self.log, "no configuration from a peer"; "peer" => %hint.peer,
+                "version" => hint.config.version, "in_force" => after, "answer" => ?answer),
         }
     }
 
