--- a/crates/fleet/src/follow.rs
+++ b/crates/fleet/src/follow.rs
@@ -30,6 +30,10 @@
 /// Time for an answer in times of the last one's.
 const ANSWER_FACTOR: u32 = 3;
 
+/// Time after which a slow answer says nothing of the next one: the platform
+/// counts as back 3 s after a disruption.
+const ANSWER_MEMORY: Duration = Duration::from_secs(3);
+
 /// Longest wait for a change of the instances. Each writes its own row before it
 /// reads the others', so that of two the later one knows the earlier and its
 /// beacons make it known; the wait is for a row that an old view did not show.
@@ -96,9 +100,12 @@
 }
 
 impl Ask {
-    /// True where the answer may wait for a change.
-    fn waits(self) -> bool {
-        matches!(self, Ask::Changes { wait, .. } if !wait.is_zero())
+    /// Longest that the answer may wait for a change.
+    fn wait(self) -> Duration {
+        match self {
+            Ask::All => Duration::ZERO,
+            Ask::Changes { wait, .. } => wait,
+        }
     }
 }
 
@@ -205,7 +212,7 @@
             table,
             instance: self.node.name().clone(),
             log: self.log.clone(),
-            limit: Cell::new(ANSWER),
+            limit: Cell::new((ANSWER, clock::now())),
             pause: Cell::new(Duration::ZERO),
             lost: Cell::new(None),
             listed: Cell::new(false),
@@ -219,8 +226,8 @@
     table: Rc<T>,
     instance: Rc<str>,
     log: Logger,
-    /// Time for the next answer.
-    limit: Cell<Duration>,
+    /// Time for the next answer, and when that was found.
+    limit: Cell<(Duration, Instant)>,
     pause: Cell<Duration>,
     /// When the first of the calls was sent that failed one after the other,
     /// and their number.
@@ -269,17 +276,14 @@
             ask => ask,
         };
         let sent = clock::now();
-        let answer = match ask.waits() {
-            true => self.wait(ask).await,
-            false => self.table.read(ask, self.limit.get()).await,
+        let answer = match ask.wait().is_zero() {
+            false => self.wait(ask).await,
+            true => self.table.read(ask, self.limit()).await,
         };
         match &answer {
             Ok(_) => {
                 self.answered();
-                if !ask.waits() {
-                    let limit = (clock::now() - sent).saturating_mul(ANSWER_FACTOR);
-                    self.limit.set(limit.clamp(ANSWER, MAX_ANSWER));
-                }
+                self.learn_limit(ask, clock::now() - sent);
                 self.listed.set(ask == Ask::All);
             }
             Err(Fault::Compacted) => {
@@ -300,7 +304,7 @@
     /// and are answered again: this one may be lost as well.
     async fn wait(&self, ask: Ask) -> Result<Page<T::Row>, Fault> {
         loop {
-            let reading = self.table.read(ask, self.limit.get());
+            let reading = self.table.read(ask, self.limit());
             let regained = pin!(self.regained.notified());
             match select(reading, regained).await {
                 Either::Left((answer, _)) => return answer,
@@ -320,17 +324,41 @@
 
     /// Notes that the call sent at `sent` failed.
     fn failed(&self, fault: &Fault, sent: Instant) {
+        let limit = self.limit();
         let (since, calls) = self.lost.get().unwrap_or((sent, 0));
         self.lost.set(Some((since, calls + 1)));
         let pause = (self.pause.get() * 2).clamp(FIRST_PAUSE, MAX_PAUSE);
         self.pause.set(pause);
         if let Fault::Lost { .. } = fault {
             // The platform may only be slow.
-            self.limit.set((self.limit.get() * 2).min(MAX_ANSWER));
+            self.set_limit(limit * 2);
         }
         warn!(self.log, "store lost"; "table" => self.table.name(), "error" => %fault,
             "calls" => calls + 1, "waited_ms" => (clock::now() - sent).as_millis(),
-            "limit_ms" => self.limit.get().as_millis(), "pause_ms" => pause.as_millis());
+            "limit_ms" => self.limit().as_millis(), "pause_ms" => pause.as_millis());
+    }
+
+    /// Time for the next answer.
+    fn limit(&self) -> Duration {
+        let (limit, found) = self.limit.get();
+        match clock::now() - found > ANSWER_MEMORY && !self.is_lost() {
+            true => ANSWER,
+            false => limit,
+        }
+    }
+
+    fn set_limit(&self, limit: Duration) {
+        let limit = limit.clamp(ANSWER, MAX_ANSWER);
+        self.limit.set((limit, clock::now()));
+    }
+
+    /// Learns from an answer that took `took`, its wait included.
+    fn learn_limit(&self, ask: Ask, took: Duration) {
+        match took.checked_sub(ask.wait()) {
+            Some(answer) => self.set_limit(answer.saturating_mul(ANSWER_FACTOR)),
+            // A change ended the wait; the answer took some part of this time.
+            None => self.set_limit(took.saturating_mul(ANSWER_FACTOR).min(self.limit())),
+        }
     }
 
     /// Pauses after a call that failed.
@@ -369,7 +397,13 @@
         match follower.read(ask).await {
             Ok(page) => {
                 listed = true;
+                let before = node.config_seen();
                 node.take_configuration(&page);
+                if node.config_seen() == before {
+                    // An old view, or nothing that can be read: the next look is
+                    // due at once and would be as good.
+                    clock::sleep(node.config_hold()).await;
+                }
             }
             Err(Fault::Compacted) => listed = false,
             Err(_) => follower.rest().await,
@@ -380,19 +414,23 @@
 /// Fetches the configuration whenever a peer knows a newer one.
 ///
 /// From the platform, as all ask at once and one instance's link is narrow; from
-/// the peer where the platform does not answer here, or shows an old view.
+/// the peer where the platform does not answer here in the usual time, or shows an
+/// old view.
 async fn on_hint(node: Rc<Node>, follower: Rc<Follower<dyn Table<Row = Document>>>) {
     loop {
-        let hint = node.config_hint().await;
+        let hints = node.config_hints().await;
         let after = node.config_seen().platform;
         if after > 0 && !follower.is_lost() {
             let wait = Duration::ZERO;
-            if let Ok(page) = follower.read(Ask::Changes { after, wait }).await {
+            let reading = follower.read(Ask::Changes { after, wait });
+            if let Some(Ok(page)) = clock::timeout(ANSWER, reading).await {
                 node.take_configuration(&page);
             }
         }
-        if node.config_seen().version < hint.config.version {
-            node.fetch_config(hint, ANSWER).await;
+        node.fetch_config(&hints, ANSWER).await;
+        let version = node.config_seen().version;
+        if hints.iter().any(|it| it.config.version > version) {
+            clock::sleep(FIRST_PAUSE).await;
         }
     }
 }
@@ -417,7 +455,7 @@
 async fn instances(node: Rc<Node>, follower: Follower<dyn Registry>) {
     loop {
         let sent = clock::now();
-        match follower.table.register(follower.limit.get()).await {
+        match follower.table.register(follower.limit()).await {
             Ok(()) => break,
             Err(fault) => follower.failed(&fault, sent),
         }
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -8,6 +8,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    cmp::Ordering,
     collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
@@ -15,6 +16,7 @@
 };
 
 use bluebellpath_runtime::{Instant, LocalFuture, Notify, clock, spawn};
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use slog::{Logger, info, warn};
 
 use crate::{
@@ -44,6 +46,12 @@
 /// which a front takes an owner for gone.
 const TRANSIT: Duration = Duration::from_millis(400);
 
+/// Wait of [`Planted::PollAlone`].
+const PLANTED_POLL: Duration = Duration::from_secs(8);
+
+/// Peers that are asked for one configuration at the same time.
+const FETCHES: u32 = 3;
+
 /// Reads a configuration document.
 pub type Decode = fn(&str) -> Result<Queues, String>;
 
@@ -94,8 +102,7 @@
     /// Version of the platform's tables at which the configuration in force was
     /// the newest, and when that was learnt.
     config_seen: Cell<(u64, Option<Instant>)>,
-    /// Peer that knows a newer configuration, if any was heard.
-    config_hint: Cell<Option<Hint>>,
+    /// Told when a peer is heard that knows a newer configuration.
     config_heard: Notify,
     sequence: Cell<u64>,
     leaving: Cell<bool>,
@@ -144,7 +151,6 @@
             catalog: RefCell::default(),
             queues: RefCell::default(),
             config_seen: Cell::default(),
-            config_hint: Cell::default(),
             config_heard: Notify::new(),
             sequence: Cell::new(0),
             leaving: Cell::new(false),
@@ -192,9 +198,17 @@
         clock::now() - learnt
     }
 
+    /// Time for which the first in line waits for a change of the configuration.
+    pub fn config_hold(&self) -> Duration {
+        Timing::within(self.config.apply).hold
+    }
+
     /// Waits until it is this instance's turn to ask the platform for the
     /// configuration; says for how long to wait for a change.
     pub async fn config_due(&self) -> Duration {
+        if self.config.planted == Some(Planted::PollAlone) {
+            return PLANTED_POLL;
+        }
         let timing = Timing::within(self.config.apply);
         loop {
             let place = self.roster.place(&self.config.name);
@@ -215,13 +229,21 @@
         }
     }
 
-    /// Waits for a peer that knows a newer configuration.
-    pub async fn config_hint(&self) -> Hint {
+    /// Waits for peers that know a newer configuration; those of this domain come
+    /// first.
+    pub async fn config_hints(&self) -> Vec<Hint> {
         loop {
             let heard = self.config_heard.notified();
-            let hint = self.config_hint.take();
-            if let Some(hint) = hint.filter(|it| it.config.version > self.queues.borrow().version) {
-                return hint;
+            let version = self.queues.borrow().version;
+            let mut newer = self.roster.alive();
+            newer.retain(|it| it.config.version > version);
+            newer.sort_by_key(|it| it.domain != self.config.domain);
+            if !newer.is_empty() {
+                let hint = |it: Beacon| Hint {
+                    config: it.config,
+                    peer: it.address,
+                };
+                return newer.into_iter().map(hint).collect();
             }
             heard.await;
         }
@@ -366,17 +388,13 @@
 
     /// Takes in a beacon of a peer.
     pub fn hear(self: &Rc<Self>, beacon: Beacon) {
-        let own = self.queues.borrow().version;
-        if beacon.config.version > own {
-            self.config_hint.set(Some(Hint {
-                config: beacon.config,
-                peer: beacon.address,
-            }));
-            self.config_heard.notify();
-        } else if beacon.config.version == own {
-            self.renew_config(beacon.config.platform);
-        }
+        let (own, config) = (self.queues.borrow().version, beacon.config);
         let changes = self.roster.hear(beacon);
+        match config.version.cmp(&own) {
+            Ordering::Greater => self.config_heard.notify(),
+            Ordering::Equal => self.renew_config(config.platform),
+            Ordering::Less => {}
+        }
         if changes.iter().any(|it| matches!(it, Change::Joined(_))) {
             self.send_beacons();
         }
@@ -436,9 +454,20 @@
         self.keeper.leave();
     }
 
-    /// Takes a newer configuration from a peer, within `limit`. One that does
-    /// not give it is asked again at its next beacon, if no other is before.
-    pub async fn fetch_config(&self, hint: Hint, limit: Duration) {
+    /// Takes a newer configuration from the first of the peers that gives it; each
+    /// has `limit`, and holds up the next for a part of it.
+    pub async fn fetch_config(&self, hints: &[Hint], limit: Duration) {
+        let is_newer = |it: &Hint| it.config.version > self.queues.borrow().version;
+        let mut fetching = FuturesUnordered::new();
+        for hint in hints.iter().copied().filter(is_newer) {
+            fetching.push(self.fetch_config_from(hint, limit));
+            // Whatever came of it, the next hint is looked at.
+            let _ = clock::timeout(limit / FETCHES, fetching.next()).await;
+        }
+        while hints.iter().any(is_newer) && fetching.next().await.is_some() {}
+    }
+
+    async fn fetch_config_from(&self, hint: Hint, limit: Duration) {
         let after = self.queues.borrow().version;
         let call = self.peers.call(hint.peer, Request::Config { after });
         match clock::timeout(limit, call).await {
--- a/crates/fleet/src/planted.rs
+++ b/crates/fleet/src/planted.rs
@@ -11,6 +11,8 @@
     RenewSilent,
     /// A job that was sent to an owner is refused as one that never ran.
     NotRunAfterSend,
+    /// The configuration is followed with one long call at each instance.
+    PollAlone,
     /// An older configuration takes the place of a newer one.
     TakeBackConfig,
 }
--- a/crates/fleet/tests/sessions/config.rs
+++ b/crates/fleet/tests/sessions/config.rs
@@ -191,6 +191,40 @@
     });
 }
 
+/// Most calls a second of one instance whose calls prove nothing: one for each
+/// wait of the first in line, and one more.
+const MAX_VAIN_CALLS_PER_S: u64 = 3;
+
+#[test]
+fn calls_that_prove_nothing_are_made_at_a_slow_pace() {
+    struct Vain {
+        name: &'static str,
+        begin: fn(&System),
+    }
+    const VAIN: [Vain; 2] = [
+        Vain {
+            name: "a table that stands still",
+            begin: |system| (0..4).for_each(|it| system.configurations.stand_still(it)),
+        },
+        Vain {
+            name: "a configuration that can't be read",
+            begin: |system| system.configurations.put("config", "no version".into()),
+        },
+    ];
+    for Vain { name, begin } in VAIN {
+        runtime::paused(async move {
+            let system = System::start(SMALL).await;
+            system.configure(1);
+            wait(1_000).await;
+            begin(&system);
+            let before = system.configurations.calls();
+            wait(20_000).await;
+            let calls = u64::from(system.configurations.calls() - before);
+            assert!(calls <= 4 * 20 * MAX_VAIN_CALLS_PER_S, "{name}: {calls}");
+        });
+    }
+}
+
 #[test]
 fn a_poll_lost_with_the_store_hides_no_instance() {
     runtime::paused(async {
--- a/crates/fleet/tests/sessions/main.rs
+++ b/crates/fleet/tests/sessions/main.rs
@@ -3,6 +3,7 @@
 mod config;
 mod planted;
 mod random;
+mod spread;
 mod system;
 
 use std::time::Duration;
--- a/crates/fleet/tests/sessions/random.rs
+++ b/crates/fleet/tests/sessions/random.rs
@@ -65,10 +65,10 @@
 };
 
 /// Small generator, the same on every machine.
-struct Dice(u64);
+pub struct Dice(pub u64);
 
 impl Dice {
-    fn roll(&mut self, sides: u64) -> u64 {
+    pub fn roll(&mut self, sides: u64) -> u64 {
         self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
         let mut mixed = self.0;
         mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
@@ -76,7 +76,7 @@
         (mixed ^ (mixed >> 31)) % sides
     }
 
-    fn index(&mut self, sides: usize) -> usize {
+    pub fn index(&mut self, sides: usize) -> usize {
         let sides = u64::try_from(sides).expect("small");
         usize::try_from(self.roll(sides)).expect("small")
     }
@@ -102,7 +102,7 @@
     }
 }
 
-fn number(text: Option<&str>) -> Option<u64> {
+pub fn number(text: Option<&str>) -> Option<u64> {
     text.and_then(|it| it.parse().ok())
 }
 
--- a/crates/standin/src/feed.rs
+++ b/crates/standin/src/feed.rs
@@ -25,6 +25,7 @@
     away: RefCell<BTreeSet<usize>>,
     /// Times that calls were lost.
     losses: Cell<u64>,
+    delay: Cell<Duration>,
     /// Versions that instances see for good.
     stuck: RefCell<BTreeMap<usize, u64>>,
     /// Version before which changes are no longer kept.
@@ -51,6 +52,7 @@
             changed: Notify::new(),
             away: RefCell::default(),
             losses: Cell::new(0),
+            delay: Cell::default(),
             stuck: RefCell::default(),
             compacted: Cell::new(0),
             calls: RefCell::default(),
@@ -89,6 +91,17 @@
         self.0.away.borrow_mut().clear();
     }
 
+    /// Ends what [`Feed::lose`] and [`Feed::stand_still`] did to an instance.
+    pub fn let_back(&self, number: usize) {
+        self.0.away.borrow_mut().remove(&number);
+        self.0.stuck.borrow_mut().remove(&number);
+    }
+
+    /// Answers all calls later by `delay` from now on.
+    pub fn slow_down(&self, delay: Duration) {
+        self.0.delay.set(delay);
+    }
+
     /// Loses the calls that wait now, as connections do that fall silent.
     pub fn silence(&self) {
         self.0.losses.set(self.0.losses.get() + 1);
@@ -218,7 +231,7 @@
                     future::pending::<()>().await;
                 }
                 let answer = feed.serve(number, ask).await;
-                clock::sleep(WAY).await;
+                clock::sleep(WAY + feed.0.delay.get()).await;
                 if feed.0.losses.get() != losses {
                     future::pending::<()>().await;
                 }
--- a/crates/standin/src/mesh.rs
+++ b/crates/standin/src/mesh.rs
@@ -75,6 +75,11 @@
         self.0.silent.borrow_mut().insert((from, to));
     }
 
+    /// Makes all connections that fell silent anew.
+    pub fn reconnect(&self) {
+        self.0.silent.borrow_mut().clear();
+    }
+
     /// Resets all connections between instances.
     pub fn reset(&self) {
         self.0.reset.notify();
