Close idle connections that fell silent along with a lost response

A response that does not come now closes the connections to that address that have been idle since before its request. One that was used since has shown that it lives.

New test (three idle connections fall silent): the call after the lost one fails before, holds now.

--- a/crates/bluebellpath/src/http/client.rs
+++ b/crates/bluebellpath/src/http/client.rs
@@ -4,6 +4,10 @@
 One task owns each connection. While idle it also reads, so that a connection
 which the other side closes leaves the pool at once; a request written to a
 connection that is already closed would be a request of unknown outcome.
+
+Connections may fall silent without being closed, and then all at once. When a
+response does not come, those that have been idle since before its request are
+closed as well, so that the next call finds none of them.
 */
 
 use std::{
@@ -15,7 +19,7 @@
 };
 
 use ::http::{HeaderValue, header};
-use bluebellpath_runtime::{clock, spawn};
+use bluebellpath_runtime::{Instant, clock, spawn};
 use futures_channel::{mpsc, oneshot};
 use futures_util::{
     StreamExt,
@@ -67,10 +71,19 @@
 
 #[derive(Default)]
 struct Pool {
-    idle: RefCell<Vec<mpsc::UnboundedSender<Call>>>,
+    idle: RefCell<Vec<Idle>>,
     open: Cell<usize>,
 }
 
+/// Connection in the pool.
+struct Idle {
+    calls: Calls,
+    since: Instant,
+}
+
+/// Way to a connection's task, which closes the connection on `None`.
+type Calls = mpsc::UnboundedSender<Option<Call>>;
+
 struct Call {
     request: Request,
     fence: Rc<dyn Fence>,
@@ -140,17 +153,20 @@
         };
         loop {
             let Some(connection) = pool.take() else { break };
-            match connection.unbounded_send(call) {
+            match connection.unbounded_send(Some(call)) {
                 Ok(()) => return self.wait(answer).await.map_err(error),
                 // The connection ended while it lay in the pool.
-                Err(back) => call = back.into_inner(),
+                Err(back) => match back.into_inner() {
+                    Some(back) => call = back,
+                    None => return Err(unsent(Fault::Closed)),
+                },
             }
         }
         if pool.open.get() >= connections {
             return Err(unsent(Fault::Connections));
         }
         let connection = self.connect(peer, pool).await.map_err(unsent)?;
-        match connection.unbounded_send(call) {
+        match connection.unbounded_send(Some(call)) {
             Ok(()) => self.wait(answer).await.map_err(error),
             Err(_) => Err(unsent(Fault::Closed)),
         }
@@ -169,11 +185,7 @@
         answer.await.unwrap_or(Err(lost))
     }
 
-    async fn connect(
-        &self,
-        peer: SocketAddr,
-        pool: Rc<Pool>,
-    ) -> Result<mpsc::UnboundedSender<Call>, Fault> {
+    async fn connect(&self, peer: SocketAddr, pool: Rc<Pool>) -> Result<Calls, Fault> {
         let slot = Slot::new(pool);
         let connect = TcpStream::connect_addr(peer);
         let connected = clock::timeout(self.0.config.connect, connect).await;
@@ -188,8 +200,20 @@
 }
 
 impl Pool {
-    fn take(&self) -> Option<mpsc::UnboundedSender<Call>> {
-        self.idle.borrow_mut().pop()
+    fn take(&self) -> Option<Calls> {
+        self.idle.borrow_mut().pop().map(|it| it.calls)
+    }
+
+    /// Closes the connections that have been idle since before `moment`.
+    fn close_older(&self, moment: Instant) {
+        self.idle.borrow_mut().retain(|it| {
+            let stays = it.since >= moment;
+            if !stays {
+                // One that has ended by itself needs none.
+                let _ = it.calls.unbounded_send(None);
+            }
+            stays
+        });
     }
 }
 
@@ -231,11 +255,12 @@
 
     async fn run(
         mut self,
-        mut calls: mpsc::UnboundedReceiver<Call>,
-        own: mpsc::UnboundedSender<Call>,
+        mut calls: mpsc::UnboundedReceiver<Option<Call>>,
+        own: Calls,
         slot: Slot,
     ) {
         while let Some(call) = self.next(&mut calls).await {
+            let sent = clock::now();
             let Call {
                 request,
                 fence,
@@ -245,7 +270,13 @@
             let result = self.exchange(request, fence.as_ref(), timeout).await;
             let keep = result.as_ref().is_ok_and(|(_, keep)| *keep);
             if keep {
-                slot.0.idle.borrow_mut().push(own.clone());
+                slot.0.idle.borrow_mut().push(Idle {
+                    calls: own.clone(),
+                    since: clock::now(),
+                });
+            }
+            if matches!(&result, Err(it) if it.sent && it.fault == Fault::TimedOut) {
+                slot.0.close_older(sent);
             }
             // The caller may have stopped waiting.
             let _ = reply.send(result.map(|(response, _)| response));
@@ -256,14 +287,14 @@
     }
 
     /// Next call, or `None` once the connection is of no use any more.
-    async fn next(&mut self, calls: &mut mpsc::UnboundedReceiver<Call>) -> Option<Call> {
+    async fn next(&mut self, calls: &mut mpsc::UnboundedReceiver<Option<Call>>) -> Option<Call> {
         let idle = std::pin::pin!(clock::timeout(self.limits.idle, self.reader.wait()));
         match select(calls.next(), idle).await {
-            Either::Left((call, _)) => call,
+            Either::Left((call, _)) => call.flatten(),
             Either::Right(_) => {
                 calls.close();
                 // A call that was queued in this very moment is still unsent.
-                if let Ok(call) = calls.try_recv() {
+                if let Ok(Some(call)) = calls.try_recv() {
                     let failure = Failure {
                         step: Step::Connect,
                         fault: Fault::Closed,
--- a/crates/bluebellpath/tests/http_client.rs
+++ b/crates/bluebellpath/tests/http_client.rs
@@ -2,12 +2,17 @@
 
 use std::{
     io::{Read, Write},
-    net::{SocketAddr, TcpListener},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
 use bluebellpath::http::{Client, ClientConfig, Fault, Request, Step};
 use bluebellpath_runtime::{clock, runtime};
+use futures_util::future::join_all;
 use http::Method;
 
 /// Time for a response.
@@ -71,3 +76,46 @@
         });
     }
 }
+
+/// Server that answers each request after 50 ms. Once `muted` is set, the
+/// connections that are open get no more answers, and later ones do.
+fn muting(muted: &Arc<AtomicBool>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback");
+    let address = listener.local_addr().expect("bound");
+    let muted = muted.clone();
+    std::thread::spawn(move || {
+        while let Ok((stream, _)) = listener.accept() {
+            let (muted, fresh) = (muted.clone(), muted.load(Ordering::SeqCst));
+            std::thread::spawn(move || answer(stream, || fresh || !muted.load(Ordering::SeqCst)));
+        }
+    });
+    address
+}
+
+fn answer(mut stream: TcpStream, answers: impl Fn() -> bool) {
+    while let Ok(1..) = stream.read(&mut [0; 4_096]) {
+        std::thread::sleep(Duration::from_millis(50));
+        let text = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+        if answers() && stream.write_all(text.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
+#[test]
+fn a_lost_response_takes_the_idle_connections_of_its_address_along() {
+    runtime::block_on(async {
+        let client = Client::new(ClientConfig::default());
+        let muted = Arc::new(AtomicBool::new(false));
+        let server = muting(&muted);
+        let timeout = Duration::from_secs(1);
+        let call = || client.send(server, Request::new(Method::GET, "/"), timeout);
+        // Three connections, all idle afterwards.
+        let answers = join_all([call(), call(), call()]).await;
+        assert!(answers.iter().all(Result::is_ok));
+        muted.store(true, Ordering::SeqCst);
+        let error = call().await.expect_err("silent");
+        assert_eq!(error.fault, Fault::TimedOut);
+        call().await.expect("a fresh connection");
+    });
+}
