Check that a caller which stood still takes no peer for silent

Asked while reading the probes of connections between instances: may a process that stalls for longer than the silence take its own stall for the peer's? It does not, as replies that came meanwhile are read first. The test held at once; it guards the order.

--- a/crates/bluebellpath/tests/peer_net.rs
+++ b/crates/bluebellpath/tests/peer_net.rs
@@ -215,6 +215,38 @@
     });
 }
 
+#[test]
+fn a_caller_that_stood_still_takes_no_peer_for_silent() {
+    let (address, listening) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        runtime::block_on(async {
+            let server = bind("key");
+            server.serve(Rc::new(Delays::default()));
+            address.send(server.address()).expect("a test");
+            clock::sleep(Duration::from_secs(10)).await;
+        });
+    });
+    let server = listening.recv().expect("a server");
+    runtime::block_on(async {
+        let config = net::Config {
+            probe: Duration::from_millis(100),
+            silence: Duration::from_millis(400),
+            ..net::Config::default()
+        };
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let client = Rc::new(Net::bind(address, Key::new("key"), config).expect("loopback"));
+        for stall_ms in [500, 700, 900] {
+            let caller = client.clone();
+            let calling = spawn(async move { caller.call(server, fetch("200")).await });
+            clock::sleep(Duration::from_millis(50)).await;
+            // The reply comes meanwhile.
+            std::thread::sleep(Duration::from_millis(stall_ms));
+            let reply = calling.await.expect("not killed");
+            assert_eq!(reply.expect("served"), Reply::Missing, "{stall_ms}");
+        }
+    });
+}
+
 #[test]
 fn a_captured_stream_can_not_be_replayed() {
     runtime::block_on(async {
