Give up a silent connection on the serving side too

An owner kept a run for a frontend whose connection had fallen silent, for as long as it heard the frontend's heartbeats.

A server with running calls now gives up a connection on which it received nothing for twice the silence of the caller, and a caller with pending calls sends at least one message within that silence. The run is then an orphan: it goes on until the frontend claims it or its claim deadline passes.

Test first: a_call_ends_at_its_server_once_the_caller_is_silent failed with "the caller is silent".

--- a/crates/bluebellpath/src/peer/net/config.rs
+++ b/crates/bluebellpath/src/peer/net/config.rs
@@ -13,7 +13,8 @@
     pub call: Duration,
     /// Silence after which a connection with pending calls is probed.
     pub probe: Duration,
-    /// Silence after which such a connection counts as lost.
+    /// Silence after which such a connection counts as lost. The server waits
+    /// twice as long for a call or a probe.
     pub silence: Duration,
     /// Time without calls after which the calling side closes a connection. The
     /// other side waits three times as long, so that it does not close a
--- a/crates/bluebellpath/src/peer/net/incoming.rs
+++ b/crates/bluebellpath/src/peer/net/incoming.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::Cell, pin::pin, rc::Rc};
 
-use bluebellpath_runtime::{Notify, spawn};
+use bluebellpath_runtime::{Instant, Notify, clock, spawn};
 use futures_channel::mpsc;
 use futures_util::{
     StreamExt,
@@ -30,7 +30,7 @@
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             // Mostly out of file descriptors: some are released when connections end.
-            bluebellpath_runtime::clock::sleep(config.connect).await;
+            clock::sleep(config.connect).await;
             continue;
         };
         if open_connections.get() >= config.connections {
@@ -60,10 +60,13 @@
     let mut writer = Writer::new(write, session, Side::Server, config.message);
     let (replies, mut replied) = mpsc::unbounded::<ServerMessage>();
     let running: Rc<Cell<usize>> = Rc::default();
+    let activity = Activity::default();
     let end_notifier = EndNotifier::default();
     let reading = async {
         loop {
-            let (number, request) = match reader.read(config.idle * 3).await {
+            let message = reader.read(config.idle * 3).await;
+            activity.last_received.set(clock::now());
+            let (number, request) = match message {
                 Ok(CallerMessage::Call(number, request)) => (number, request),
                 Ok(CallerMessage::Probe) => {
                     // The connection may have ended meanwhile.
@@ -78,6 +81,7 @@
                 return Err(wire::Fault::TooLarge);
             }
             let guard = CountGuard::new(running.clone());
+            activity.received.notify();
             let (handler, replies) = (handler.clone(), replies.clone());
             let ended = end_notifier.0.clone();
             drop(spawn(async move {
@@ -103,9 +107,50 @@
         }
         Ok(())
     };
-    let (reading, writing) = (std::pin::pin!(reading), std::pin::pin!(writing));
-    let ended = select(reading, writing).await;
-    ended.factor_first().0
+    let transferring = async {
+        let (reading, writing) = (pin!(reading), pin!(writing));
+        let ended = select(reading, writing).await;
+        ended.factor_first().0
+    };
+    let silent = wait_until_silent(&activity, &running, &config);
+    match select(pin!(transferring), pin!(silent)).await {
+        Either::Left((ended, _)) => ended,
+        Either::Right(_) => Err(wire::Fault::TimedOut),
+    }
+}
+
+/// Returns when calls are running whose caller has sent nothing, not even a probe,
+/// for twice [`Config::silence`].
+///
+/// The caller has then given up the connection, even if no end of it arrives.
+async fn wait_until_silent(activity: &Activity, running: &Cell<usize>, config: &Config) {
+    loop {
+        let received = activity.received.notified();
+        if running.get() == 0 {
+            received.await;
+            continue;
+        }
+        let since = activity.last_received.get();
+        let deadline = since + config.silence * 2;
+        if clock::now() < deadline {
+            clock::sleep_until(deadline).await;
+            continue;
+        }
+        // After a suspension of this process, messages may be waiting to be read.
+        clock::sleep(config.probe).await;
+        if running.get() > 0 && activity.last_received.get() == since {
+            return;
+        }
+    }
+}
+
+/// Messages received on a connection.
+#[derive(Default)]
+struct Activity {
+    /// Time at which the last message was received.
+    last_received: Cell<Instant>,
+    /// Notified of each call.
+    received: Notify,
 }
 
 /// Notifies handlers of requests that end with their sender when the connection
--- a/crates/bluebellpath/src/peer/net/outgoing.rs
+++ b/crates/bluebellpath/src/peer/net/outgoing.rs
@@ -146,6 +146,7 @@
                 Some(call) => pending.add(call),
                 None => probe.clone(),
             };
+            pending.last_sent.set(clock::now());
             if let Err(fault) = writer.write(message).await {
                 return fault;
             }
@@ -183,7 +184,8 @@
 /// received for [`Config::silence`].
 ///
 /// A connection may fail without being closed while the peer is still alive and
-/// its heartbeats arrive.
+/// its heartbeats arrive. A message is also sent at least once per
+/// [`Config::silence`], by which the server knows that the caller still waits.
 async fn wait_until_silent(
     pending: &Pending,
     config: &Config,
@@ -196,12 +198,17 @@
             continue;
         }
         let since = pending.silent_since();
-        if clock::now() < since + config.probe {
-            clock::sleep_until(since + config.probe).await;
+        let probe_at = (since + config.probe).min(pending.last_sent.get() + config.silence);
+        if clock::now() < probe_at {
+            clock::sleep_until(probe_at).await;
             continue;
         }
+        pending.last_sent.set(clock::now());
         // The writing half may already have ended.
         let _ = probe_sender.unbounded_send(());
+        if clock::now() < since + config.probe {
+            continue;
+        }
         clock::sleep_until(since + config.silence).await;
         if !pending.replies.borrow().is_empty() && pending.silent_since() == since {
             return;
@@ -226,6 +233,8 @@
     next_number: Cell<u64>,
     /// Time at which the last message was received.
     last_received: Cell<Instant>,
+    /// Time at which the last message was sent.
+    last_sent: Cell<Instant>,
     /// Time at which the first call was added to an empty set of pending calls.
     pending_since: Cell<Instant>,
     call_added: Notify,
--- a/crates/bluebellpath/tests/peer_net.rs
+++ b/crates/bluebellpath/tests/peer_net.rs
@@ -16,6 +16,7 @@
     job::{Id, Ticket},
     peer::{Fault, Handler, Key, Link, Net, Reply, Request, Step, net},
 };
+use bluebellpath_fleet::{JobId, membership};
 use bluebellpath_runtime::{LocalFuture, Scope, clock, runtime, spawn};
 use futures_util::future::join_all;
 
@@ -215,6 +216,57 @@
     });
 }
 
+/// Never answers; `abandoned` is set once the call has ended.
+struct Endless {
+    abandoned: Rc<Cell<bool>>,
+}
+
+impl Handler for Endless {
+    fn handle(&self, _: Request) -> LocalFuture<'static, Reply> {
+        struct Guard(Rc<Cell<bool>>);
+        impl Drop for Guard {
+            fn drop(&mut self) {
+                self.0.set(true);
+            }
+        }
+        let guard = Guard(self.abandoned.clone());
+        Box::pin(async move {
+            let _guard = guard;
+            std::future::pending().await
+        })
+    }
+}
+
+#[test]
+fn a_call_ends_at_its_server_once_the_caller_is_silent() {
+    runtime::block_on(async {
+        let config = net::Config {
+            probe: Duration::from_millis(100),
+            silence: Duration::from_millis(300),
+            ..net::Config::default()
+        };
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let bind = || Rc::new(Net::bind(address, Key::new("key"), config).expect("loopback"));
+        let (client, server) = (bind(), bind());
+        let abandoned = Rc::new(Cell::new(false));
+        server.serve(Rc::new(Endless {
+            abandoned: abandoned.clone(),
+        }));
+        let muted = Arc::new(AtomicBool::new(false));
+        let proxy = muting_proxy(server.address(), &muted);
+        let request = Request::Fleet(Box::new(membership::Request::Block(JobId(1))));
+        let calling = spawn(async move { client.call(proxy, request).await });
+        // Longer than the server waits for a probe.
+        clock::sleep(Duration::from_millis(1_500)).await;
+        assert!(!abandoned.get(), "the caller is alive");
+        muted.store(true, Ordering::SeqCst);
+        clock::sleep(Duration::from_millis(1_500)).await;
+        assert!(abandoned.get(), "the caller is silent");
+        let error = calling.await.expect("not killed").expect_err("silent");
+        assert_eq!(error.fault, Fault::Unknown);
+    });
+}
+
 #[test]
 fn a_caller_that_stood_still_takes_no_peer_for_silent() {
     let (address, listening) = std::sync::mpsc::channel();
