Count the time of a search from the last owner that may have the run

The live owners had denied the run long ago and 2 s had passed since the search began, so it counted as lost at once, while the next owner renewed the lease of the run.

The time now starts anew while a live owner has not answered its claim, and denials count only if no claim was lost after them. A claim that was certainly not sent does not count as one.

Test first: a_run_is_not_lost_because_the_search_for_it_was_long failed with four tasks in two places.

--- a/crates/fleet/src/frontend/search.rs
+++ b/crates/fleet/src/frontend/search.rs
@@ -15,7 +15,7 @@
 
 use super::{ActiveJob, CancelOnDrop, Shared, millis};
 use crate::{
-    membership::{Reply, Request},
+    membership::{CallError, Reply, Request},
     messages::{RunOutcome, RunRequest},
     scheduler::DropPolicy,
 };
@@ -47,7 +47,8 @@
     }
 
     /// Claims a run at all owners repeatedly until one returns how it ended.
-    /// Returns `None` once no owner has it, or after [`Config::orphan_timeout`].
+    /// Returns `None` once no owner has it, or [`Config::orphan_timeout`] after
+    /// the last time at which an owner may have had it.
     ///
     /// An owner that adopts the run answers only when the run ends, and one that
     /// has failed never answers. Neither delays the replies of the others.
@@ -60,18 +61,21 @@
         let mut excluded: Vec<u32> = Vec::new();
         let mut not_found_at = BTreeSet::new();
         let mut claims = PendingClaims::new();
+        // Live owners that had not answered at the end of the last round.
+        let mut pending_before = BTreeSet::new();
         loop {
             self.send_claims(run_request, short_ids, &mut claims);
             let round_end = clock::now() + SEARCH_INTERVAL;
             while let Some(Some((owner, reply))) = clock::timeout_at(round_end, claims.next()).await
             {
                 match reply {
-                    ClaimReply::NoReply => {
+                    ClaimReply::NotSent => {
                         not_found_at.remove(&owner);
                     }
-                    ClaimReply::Ended(RunOutcome::Moved { .. } | RunOutcome::Superseded) => {
-                        // An owner had the run until now, so the search starts
-                        // over.
+                    ClaimReply::NoReply
+                    | ClaimReply::Ended(RunOutcome::Moved { .. } | RunOutcome::Superseded) => {
+                        // An owner may have had the run until now, so the search
+                        // starts over.
                         not_found_at.clear();
                         excluded.clear();
                         search_end = clock::now() + self.config.orphan_timeout;
@@ -84,14 +88,21 @@
                 }
             }
             // Any live owner that has not denied the run may have it.
-            let alive = self
-                .membership
-                .live_peers()
-                .into_iter()
-                .map(|it| it.address);
-            let mut owners = alive.chain([self.config.address]);
-            let pending = |owner| claims.iter().any(|it| it.owner == owner);
-            let not_found_anywhere = owners.all(|it| not_found_at.contains(&it) && !pending(it));
+            let mut owners = self.membership.live_addresses();
+            owners.push(self.config.address);
+            let is_pending = |it: &SocketAddr| claims.iter().any(|claim| claim.owner == *it);
+            let pending: BTreeSet<_> = owners.iter().copied().filter(is_pending).collect();
+            if pending_before.iter().any(|it| !owners.contains(it)) {
+                // It was lost before it answered.
+                not_found_at.clear();
+                excluded.clear();
+            }
+            if !pending.is_empty() {
+                search_end = clock::now() + self.config.orphan_timeout;
+            }
+            let denies = |it: &SocketAddr| not_found_at.contains(it) && !pending.contains(it);
+            let not_found_anywhere = owners.iter().all(denies);
+            pending_before = pending;
             let all_excluded =
                 !short_ids.is_empty() && short_ids.iter().all(|it| excluded.contains(it));
             if not_found_anywhere && (all_excluded || clock::now() >= search_end) {
@@ -142,7 +153,8 @@
                 match reply {
                     Ok(Reply::Ended(run_outcome, _)) => ClaimReply::Ended(run_outcome),
                     Ok(Reply::NotFound { excluded }) => ClaimReply::NotFound(excluded),
-                    Ok(_) | Err(_) => ClaimReply::NoReply,
+                    Err(CallError::NotSent) => ClaimReply::NotSent,
+                    Ok(_) | Err(CallError::Unknown) => ClaimReply::NoReply,
                 }
             };
             claims.push(Claim {
@@ -158,6 +170,9 @@
     Ended(RunOutcome),
     /// None of the targets with these short ids has the run.
     NotFound(Vec<u32>),
+    /// The claim certainly did not reach the owner.
+    NotSent,
+    /// The owner may have adopted the run.
     NoReply,
 }
 
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -268,6 +268,13 @@
         alive.map(|it| it.heartbeat.clone()).collect()
     }
 
+    /// Returns the addresses of all live peers.
+    pub fn live_addresses(&self) -> Vec<SocketAddr> {
+        let peers = self.peers.borrow();
+        let alive = peers.values().filter(|it| it.alive);
+        alive.map(|it| it.heartbeat.address).collect()
+    }
+
     /// Returns the names and addresses of the live peers in `domain` that keep
     /// their targets, ordered by name.
     pub fn domain_peers(&self, domain: &str) -> Vec<(Rc<str>, SocketAddr)> {
--- a/crates/fleet/tests/sessions/main.rs
+++ b/crates/fleet/tests/sessions/main.rs
@@ -12,7 +12,7 @@
 use bluebellpath_runtime::runtime;
 use bluebellpath_standin::Mishap;
 
-use self::system::{JobSpec, SMALL, System, sleep_ms, target};
+use self::system::{JobSpec, Layout, SMALL, System, sleep_ms, target};
 
 #[test]
 fn without_faults_each_task_runs_once() {
@@ -116,6 +116,74 @@
         .any(|it| owned.contains(&it.0))
 }
 
+/// A frontend hears nothing from an owner that still hears it, and their
+/// connections fall silent.
+#[test]
+fn a_run_at_an_unheard_owner_ends_before_it_starts_elsewhere() {
+    // The owners of most targets are other instances than the frontend.
+    const LAYOUT: Layout = Layout {
+        domains: 1,
+        instances: 5,
+        targets: 15,
+    };
+    for owner in 1..LAYOUT.instances {
+        runtime::paused(async move {
+            let system = System::start(LAYOUT).await;
+            let spec = JobSpec {
+                tasks: 24,
+                run_ms: 6_000,
+                deadline_ms: 20_000,
+                ..JobSpec::default()
+            };
+            system.submit(0, spec);
+            sleep_ms(300).await;
+            let address = |number: usize| system.instances[number].address;
+            system.mesh.stall();
+            system.mesh.drop_heartbeats(address(owner), address(0));
+            system.mesh.silence(address(0), address(owner));
+            sleep_ms(12_000).await;
+            system.assert_no_violations();
+        });
+    }
+}
+
+/// The owner that adopted a run dies long after the search for the run began, while
+/// the next owner of the target is partitioned from the frontend.
+#[test]
+fn a_run_is_not_lost_because_the_search_for_it_was_long() {
+    runtime::paused(async {
+        let system = System::start(SMALL).await;
+        // Fills the domain of the frontend until the owner dies.
+        let first = JobSpec {
+            tasks: 8,
+            run_ms: 2_500,
+            ..JobSpec::default()
+        };
+        let second = JobSpec {
+            job: 2,
+            tasks: 4,
+            run_ms: 5_000,
+            deadline_ms: 20_000,
+            ..JobSpec::default()
+        };
+        system.submit(0, first);
+        sleep_ms(150).await;
+        system.submit(0, second);
+        sleep_ms(150).await;
+        let owner = [2, 3]
+            .into_iter()
+            .find(|it| owns_running_target(&system, *it));
+        let owner = owner.expect("an instance of the other domain owns a run");
+        // The owner adopts its runs; the search waits for its reply.
+        system.mesh.reset();
+        sleep_ms(2_500).await;
+        system.set_partitioned("domain-1", true);
+        system.kill(owner);
+        sleep_ms(12_000).await;
+        system.assert_no_violations();
+    });
+}
+
 /// Fault of every target while a job starts.
 struct StartFault {
     name: &'static str,
--- a/crates/standin/src/mesh.rs
+++ b/crates/standin/src/mesh.rs
@@ -13,12 +13,18 @@
     membership::{CallError, Heartbeat, Reply, Request, Transport},
     node::Node,
 };
-use bluebellpath_runtime::{LocalFuture, Notify, Scope, clock};
+use bluebellpath_runtime::{Instant, LocalFuture, Notify, Scope, clock};
 use futures_util::future::{Either, select};
 
 /// One way between two instances.
 const WAY: Duration = Duration::from_micros(500);
 
+/// Silence of a connection after which its caller gives it up.
+const CALLER_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Silence of a connection after which its server gives it up.
+const SERVER_TIMEOUT: Duration = Duration::from_millis(800);
+
 /// Time between two tries of what a cut holds up.
 const RESEND: Duration = Duration::from_millis(200);
 
@@ -34,6 +40,11 @@
     nodes: RefCell<BTreeMap<SocketAddr, (Rc<Node>, Scope)>>,
     cuts: RefCell<BTreeSet<(SocketAddr, SocketAddr)>>,
     silent: RefCell<BTreeSet<(SocketAddr, SocketAddr)>>,
+    unheard: RefCell<BTreeSet<(SocketAddr, SocketAddr)>>,
+    /// Connections that fell silent, with the time at which their callers give
+    /// them up, once there is a call.
+    stalled: RefCell<BTreeMap<(SocketAddr, SocketAddr), Option<Instant>>>,
+    stall: Notify,
     reset: Notify,
     calls: Cell<u64>,
 }
@@ -75,6 +86,33 @@
         self.0.silent.borrow_mut().insert((from, to));
     }
 
+    /// Loses all heartbeats from one instance to another from now on.
+    pub fn drop_heartbeats(&self, from: SocketAddr, to: SocketAddr) {
+        self.0.unheard.borrow_mut().insert((from, to));
+    }
+
+    /// Lets all connections fall silent. Messages on them are lost, callers give
+    /// them up after [`CALLER_TIMEOUT`] and servers after [`SERVER_TIMEOUT`].
+    pub fn stall(&self) {
+        let nodes: Vec<SocketAddr> = self.0.nodes.borrow().keys().copied().collect();
+        let pairs = nodes.iter().flat_map(|a| nodes.iter().map(|b| (*a, *b)));
+        let stalled = pairs.map(|it| (it, None));
+        self.0.stalled.borrow_mut().extend(stalled);
+        self.0.stall.notify();
+    }
+
+    /// Waits until the caller gives up its stalled connection. Returns false at
+    /// once if the connection works.
+    async fn stalled(&self, pair: (SocketAddr, SocketAddr)) -> bool {
+        let given_up_at = match self.0.stalled.borrow_mut().get_mut(&pair) {
+            Some(given_up_at) => *given_up_at.get_or_insert(clock::now() + CALLER_TIMEOUT),
+            None => return false,
+        };
+        clock::sleep_until(given_up_at).await;
+        self.0.stalled.borrow_mut().remove(&pair);
+        true
+    }
+
     /// Makes all connections that fell silent anew.
     pub fn reconnect(&self) {
         self.0.silent.borrow_mut().clear();
@@ -119,6 +157,9 @@
 
 impl Transport for Side {
     fn send_heartbeat(&self, to: SocketAddr, heartbeat: &Heartbeat) {
+        if self.mesh.0.unheard.borrow().contains(&(self.own, to)) {
+            return;
+        }
         let (mesh, own, heartbeat) = (self.mesh.clone(), self.own, heartbeat.clone());
         drop(Scope::new().spawn(async move {
             clock::sleep(WAY).await;
@@ -145,12 +186,16 @@
             if mesh.0.silent.borrow().contains(&(own, to)) {
                 future::pending::<()>().await;
             }
+            if mesh.stalled((own, to)).await {
+                return Err(CallError::Unknown);
+            }
             let Some((node, scope)) = mesh.peer(own, to) else {
                 return Err(CallError::NotSent);
             };
+            let stall = mesh.0.stall.notified();
             let reset = mesh.0.reset.notified();
             let (inner, dropped) = (mesh.clone(), Rc::new(Notify::new()));
-            let _caller = Hangup(dropped.clone());
+            let caller = Hangup(dropped.clone());
             // The receiver drops the call when its connection ends, as daemons do.
             let reply = scope.spawn(async move {
                 let handling = node.handle_request(request);
@@ -163,9 +208,18 @@
                     Either::Right(_) => None,
                 }
             });
-            let reply = match select(reply, std::pin::pin!(reset)).await {
+            let (reset, stall) = (std::pin::pin!(reset), std::pin::pin!(stall));
+            let reply = match select(reply, select(reset, stall)).await {
                 Either::Left((reply, _)) => reply.flatten(),
-                Either::Right(_) => None,
+                Either::Right((Either::Left(_), _)) => None,
+                Either::Right((Either::Right(_), _)) => {
+                    drop(Scope::new().spawn(async move {
+                        clock::sleep(SERVER_TIMEOUT).await;
+                        drop(caller);
+                    }));
+                    mesh.stalled((own, to)).await;
+                    return Err(CallError::Unknown);
+                }
             };
             clock::sleep(WAY).await;
             let cut = mesh.is_cut(to, own);
