Execute a run request only in the process it was sent to

The frontend claimed the run, the first restarted process denied it and barred it, and the bar went with that process. The second one received the request, less than 400 ms old, and executed it beside the next run.

The request now names the incarnation of the owner, taken from its last heartbeat; any other process answers that it has not started it.

--- a/crates/fleet/src/frontend/mod.rs
+++ b/crates/fleet/src/frontend/mod.rs
@@ -544,6 +544,7 @@
             goal_remaining_ms: millis_u32(active_job.goal_left()),
             start_timeout_ms: millis_u32(patience),
             eligible_targets: Rc::default(),
+            owner_incarnation: 0,
             sent_at: ClockReading::default(),
             front_address: self.config.address,
         }
@@ -577,9 +578,11 @@
                 .await;
             return locate(run_outcome, self.scheduler.short_ids());
         }
+        let recipient = self.membership.recipient(owner);
         let run_request = &RunRequest {
-            eligible_targets: self.membership.short_ids_held_by(owner).into(),
-            sent_at: self.membership.clocks_of(owner),
+            eligible_targets: recipient.target_short_ids,
+            owner_incarnation: recipient.incarnation,
+            sent_at: recipient.clocks,
             ..run_request.clone()
         };
         let cancel_guard = CancelOnDrop::new(self, owner, run_request);
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -141,6 +141,17 @@
     alive: bool,
 }
 
+/// Peer to which a run request is sent.
+#[derive(Clone, Debug, Default)]
+pub struct Recipient {
+    /// Process that is to execute the request.
+    pub incarnation: u64,
+    /// Expected reading of its clocks now.
+    pub clocks: ClockReading,
+    /// Short ids of the targets that it holds.
+    pub target_short_ids: Rc<[u32]>,
+}
+
 /// Change in the set of live peers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -305,20 +316,15 @@
         ages.max().unwrap_or_default()
     }
 
-    /// Estimates the clocks of the peer at `address` now.
-    pub fn clocks_of(&self, address: SocketAddr) -> ClockReading {
-        let peers = self.peers.borrow();
-        let peer = peers.values().find(|it| it.heartbeat.address == address);
-        let reading = peer.map(|it| it.heartbeat.clocks.after(clock::now() - it.received_at));
-        reading.unwrap_or_default()
-    }
-
-    /// Returns the short ids of the targets that the peer at `address` holds.
-    pub fn short_ids_held_by(&self, address: SocketAddr) -> Vec<u32> {
+    /// Returns what a run request to the peer at `address` must say about it.
+    pub fn recipient(&self, address: SocketAddr) -> Recipient {
         let peers = self.peers.borrow();
         let peer = peers.values().find(|it| it.heartbeat.address == address);
-        peer.map(|it| it.heartbeat.target_short_ids.clone())
-            .unwrap_or_default()
+        peer.map_or_else(Recipient::default, |it| Recipient {
+            incarnation: it.heartbeat.incarnation,
+            clocks: it.heartbeat.clocks.after(clock::now() - it.received_at),
+            target_short_ids: it.heartbeat.target_short_ids.as_slice().into(),
+        })
     }
 
     /// Replaces the load of the peer at `address`.
--- a/crates/fleet/src/messages.rs
+++ b/crates/fleet/src/messages.rs
@@ -75,6 +75,9 @@
     /// Short ids of the targets on which the task may run; empty for any. Tells
     /// the frontend where to search for the run if its owner is lost.
     pub eligible_targets: Rc<[u32]>,
+    /// Incarnation of the owner that may execute the request. A later process at the
+    /// same address doesn't know which runs that one has denied.
+    pub owner_incarnation: u64,
     /// Time of sending on the clocks of the owner, as estimated by the frontend.
     pub sent_at: ClockReading,
     /// Address at which peers reach the frontend, which identifies it.
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -420,6 +420,13 @@
     pub fn handle_request(&self, request: Request) -> LocalFuture<'static, Reply> {
         let scheduler = self.scheduler.clone();
         match request {
+            // This process does not know which runs the earlier one has denied.
+            Request::Run(run_request) if run_request.owner_incarnation != self.incarnation => {
+                info!(self.log, "run request is for an earlier process"; "task" => %run_request.task,
+                    "run" => run_request.run, "process" => run_request.owner_incarnation);
+                let run_outcome = RunOutcome::NotStarted(NotStartedReason::OwnerUnavailable);
+                Box::pin(async move { Reply::Ended(run_outcome, scheduler.load()) })
+            }
             // The frontend has given this run up and may have started the task
             // elsewhere.
             Request::Run(run_request) if run_request.sent_at.is_older_than(MAX_RUN_REQUEST_AGE) => {
