Give each process a stored identity in its fencing tokens

Among 147 instances some ten pairs share ten bits.

A token now holds a number of the instance, claimed by a conditional write to the platform's store, and a life that each start increments. Both have no odds in them: 8,192 instances, and 16 starts before a life comes back. The bits come from the time, whose unit grows from 1 ms to 128 ms; a process uses no time twice for one target, so a clock that steps back repeats no token either. An owner that follows within one unit may have to raise its token once, which costs one request. An instance takes over no target before it has an identity: one store call more at a start. Numbers are in 16 shards, each a part of its own, since a part takes 150 transactions a second and all instances start together.

--- a/crates/fleet/src/fencing.rs
+++ b/crates/fleet/src/fencing.rs
@@ -1,59 +1,73 @@
 /*!
 Fencing tokens.
 
-A token consists of the wall time in the high bits, a hash of the instance, and a
-counter of increments in the low bits. Tokens of different instances are thus
-distinct, and a later owner has the higher token without any coordination. If
-clocks disagree, an owner whose token is rejected increases it in growing steps
-until it exceeds the unknown token. It does so for that target only, because a
-token far ahead of the clock forces the next owner to do the same.
+A token consists of the wall time in the high bits, the [`Identity`] of the
+process, and a counter of increments in the low bits. No two processes share an
+identity, and a process never uses a time twice for the same target, so tokens
+are distinct whatever the clocks show. A later owner usually has the higher token
+without any coordination. If it doesn't, because clocks disagree or because it
+follows within one unit of time, it increases the time of its token in growing
+steps until it exceeds the unknown token. It does so for that target only,
+because a token far ahead of the clock forces the next owner to do the same.
 
 An owner increments its own token to invalidate a start request that was not
-answered. The result stays below every token that another owner may have used
-since, so an owner never takes a target back from its successor by accident.
+answered. The result differs from the token of any other owner in the bits above
+the counter as before, so it stays below every token that another owner has used
+since, and an owner never takes a target back from its successor by accident.
 */
 
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc};
+
+use crate::identity::{Identity, LIFE_BITS, NUMBER_BITS};
+
 /// Epoch of the wall time in tokens, in Unix milliseconds: 2025-01-01. Tokens
 /// stay below 2^53, the range in which all JSON parsers are exact, for 17 years
 /// from then.
 const EPOCH_MS: u64 = 1_735_689_600_000;
 
-/// Number of bits that identify the instance.
-const INSTANCE_BITS: u32 = 10;
+/// Unit of the time in tokens, in milliseconds.
+const TIME_UNIT_MS: u64 = 128;
 
 /// Number of bits that count increments.
 const INCREMENT_BITS: u32 = 4;
 
 /// Number of bits below the wall time.
-const NON_TIME_BITS: u32 = INSTANCE_BITS + INCREMENT_BITS;
+const NON_TIME_BITS: u32 = NUMBER_BITS + LIFE_BITS + INCREMENT_BITS;
 
-/// Creates the fencing tokens of one instance.
-#[derive(Clone, Copy, Debug)]
+/// Creates the fencing tokens of one process.
+#[derive(Debug)]
 pub struct TokenSource {
-    instance: u64,
+    identity: Identity,
+    /// Last token of this process for each target.
+    last_tokens: RefCell<BTreeMap<Rc<str>, u64>>,
 }
 
 impl TokenSource {
-    /// Source of tokens for one incarnation of the instance `name`. Incarnations
-    /// have different tokens because an earlier one may have used tokens ahead
-    /// of the clock.
-    pub fn new(name: &str, incarnation: u64) -> TokenSource {
-        let mut hasher = blake3::Hasher::new();
-        hasher.update(&incarnation.to_le_bytes());
-        let hash = hasher.update(name.as_bytes()).finalize();
-        let mut prefix = [0; 8];
-        prefix.copy_from_slice(&hash.as_bytes()[..8]);
+    /// Source of tokens for the process with this identity.
+    pub fn new(identity: Identity) -> TokenSource {
         TokenSource {
-            instance: u64::from_le_bytes(prefix) & ((1 << INSTANCE_BITS) - 1),
+            identity,
+            last_tokens: RefCell::default(),
         }
     }
 
-    /// Token for taking over a target at the wall time `wall_ms`. Its time is at
-    /// least `step_ms` milliseconds later than that of the token `previous`.
-    pub fn next(self, wall_ms: u64, previous: u64, step_ms: u64) -> u64 {
-        let min_ms = (previous >> NON_TIME_BITS) + step_ms;
-        let time_ms = wall_ms.saturating_sub(EPOCH_MS).max(min_ms);
-        (time_ms << NON_TIME_BITS) | (self.instance << INCREMENT_BITS)
+    /// Token for taking over `target` at the wall time `wall_ms`. Its time is later
+    /// than that of the last one for this target by at least `step_ms`.
+    pub fn next(&self, target: &Rc<str>, wall_ms: u64, step_ms: u64) -> u64 {
+        let mut last_tokens = self.last_tokens.borrow_mut();
+        let step = step_ms.div_ceil(TIME_UNIT_MS).max(1);
+        let min_time = last_tokens
+            .get(target)
+            .map_or(0, |it| (it >> NON_TIME_BITS) + step);
+        let time = (wall_ms.saturating_sub(EPOCH_MS) / TIME_UNIT_MS).max(min_time);
+        let token = (time << NON_TIME_BITS) | (self.identity.bits() << INCREMENT_BITS);
+        last_tokens.insert(target.clone(), token);
+        token
+    }
+
+    /// Forgets the tokens for targets that `is_listed` does not contain.
+    pub fn retain(&self, is_listed: impl Fn(&str) -> bool) {
+        self.last_tokens.borrow_mut().retain(|it, _| is_listed(it));
     }
 }
 
--- a/crates/fleet/src/injected_fault.rs
+++ b/crates/fleet/src/injected_fault.rs
@@ -13,6 +13,10 @@
     RefuseAfterSend,
     /// Each instance follows the configuration with a single long poll.
     SingleLongPoll,
+    /// All processes use the same identity in fencing tokens.
+    SharedIdentity,
+    /// Run requests for an earlier process are executed.
+    AcceptForeignRequest,
     /// An older configuration replaces a newer one.
     AcceptOlderConfig,
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,8 +8,8 @@
 takes a job from a caller is the frontend of the job, `front` in settings and
 logs. It splits the job into tasks and sends each to an owner.
 
-* [`ownership`], [`fencing`]: which instance should own a target, and the token that
-  proves it to the target.
+* [`ownership`], [`fencing`], [`identity`]: which instance should own a target, and
+  the token that proves it to the target.
 * [`target_client`]: requests to a target, and its replies.
 * [`scheduler`]: the owner's side, from a waiting task to its end.
 * [`frontend`]: the caller's side, from a job to its answer.
@@ -29,6 +29,7 @@
 pub mod target_list;
 pub mod config;
 pub mod fencing;
+pub mod identity;
 pub mod table_watch;
 pub mod owner_selection;
 pub mod frontend;
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -24,8 +24,9 @@
     InjectedFault, Target,
     config::{Config as QueueConfig, Observation},
     frontend::{self, Frontend},
+    identity::Identity,
     membership::{self, Change, Heartbeat, Membership, Reply, Request, Transport},
-    messages::{ClockReading, NotStartedReason, RunOutcome},
+    messages::{ClockReading, NotStartedReason, RunOutcome, RunRequest},
     ownership::Candidate,
     scheduler::{self, DropPolicy, Scheduler},
     table_watch::{ConfigDocument, ConfigTiming, Page},
@@ -126,7 +127,7 @@
             injected_fault: config.injected_fault,
             ..config.scheduler
         };
-        let scheduler = Scheduler::new(&config.name, scheduler_config, orders, log.clone());
+        let scheduler = Scheduler::new(scheduler_config, orders, log.clone());
         let membership = Rc::new(Membership::new(config.name.clone(), config.membership));
         let frontend = Frontend::new(
             frontend::Config {
@@ -313,6 +314,16 @@
         }));
     }
 
+    /// Sets the identity of this process, without which it takes over no targets.
+    pub fn set_identity(&self, identity: Identity) {
+        let identity = match self.config.injected_fault {
+            Some(InjectedFault::SharedIdentity) => Identity::default(),
+            _ => identity,
+        };
+        self.scheduler.set_identity(identity);
+        self.update_owned_targets();
+    }
+
     /// Replaces the whole list of targets.
     pub fn replace_targets(&self, version: u64, targets: BTreeMap<Rc<str>, Target>) {
         self.target_list.borrow_mut().replace(version, targets);
@@ -421,7 +432,7 @@
         let scheduler = self.scheduler.clone();
         match request {
             // This process does not know which runs the earlier one has denied.
-            Request::Run(run_request) if run_request.owner_incarnation != self.incarnation => {
+            Request::Run(run_request) if !self.is_recipient(&run_request) => {
                 info!(self.log, "run request is for an earlier process"; "task" => %run_request.task,
                     "run" => run_request.run, "process" => run_request.owner_incarnation);
                 let run_outcome = RunOutcome::NotStarted(NotStartedReason::OwnerUnavailable);
@@ -474,6 +485,12 @@
         }
     }
 
+    /// Whether a run request was sent to this process.
+    fn is_recipient(&self, run_request: &RunRequest) -> bool {
+        run_request.owner_incarnation == self.incarnation
+            || self.config.injected_fault == Some(InjectedFault::AcceptForeignRequest)
+    }
+
     /// Gives up all targets for a planned stop. Jobs of callers are still
     /// served.
     pub fn leave(&self) {
--- a/crates/fleet/src/scheduler/mod.rs
+++ b/crates/fleet/src/scheduler/mod.rs
@@ -35,6 +35,7 @@
     backlog::{Backlog, Position},
     circuit_breaker,
     fencing::TokenSource,
+    identity::Identity,
     messages::{Load, NotStartedReason, RunOutcome, RunRequest},
     placement::{self, Candidate},
     target_client::{ExitStatus, TargetClient},
@@ -88,7 +89,8 @@
     config: Config,
     target_client: Rc<dyn TargetClient>,
     log: Logger,
-    token_source: TokenSource,
+    /// `None` until the process has an identity.
+    token_source: RefCell<Option<TokenSource>>,
     held_targets: RefCell<BTreeMap<Rc<str>, Rc<HeldTarget>>>,
     backlog: RefCell<Backlog<QueuedRun>>,
     backlog_positions: RefCell<HashMap<RunKey, Position>>,
@@ -111,18 +113,14 @@
 }
 
 impl Scheduler {
-    /// Creates the scheduler of the instance `name`, which holds no targets yet.
-    pub fn new(
-        name: &str,
-        config: Config,
-        target_client: Rc<dyn TargetClient>,
-        log: Logger,
-    ) -> Scheduler {
+    /// Creates a scheduler that holds no targets, and takes over none before
+    /// [`Scheduler::set_identity`].
+    pub fn new(config: Config, target_client: Rc<dyn TargetClient>, log: Logger) -> Scheduler {
         Scheduler(Rc::new(Shared {
             config,
             target_client,
             log,
-            token_source: TokenSource::new(name, clock::wall()),
+            token_source: RefCell::default(),
             last_tick: Cell::new(clock::now()),
             held_targets: RefCell::default(),
             backlog: RefCell::default(),
@@ -134,6 +132,13 @@
         }))
     }
 
+    /// Sets the identity of this process in fencing tokens. Only the first call has
+    /// an effect.
+    pub fn set_identity(&self, identity: Identity) {
+        let mut token_source = self.0.token_source.borrow_mut();
+        token_source.get_or_insert_with(|| TokenSource::new(identity));
+    }
+
     /// Takes over the new ones among `targets`, which this instance should own.
     /// Other targets are released only once their new owner has fenced this
     /// instance off.
@@ -152,6 +157,9 @@
     /// Updates the held targets from the target list, including targets that other
     /// instances should own.
     pub fn refresh_targets(&self, listed: &dyn Fn(&str) -> Option<Target>) {
+        if let Some(token_source) = &*self.0.token_source.borrow() {
+            token_source.retain(|it| listed(it).is_some());
+        }
         let now = clock::now();
         let held: Vec<_> = self.0.held_targets.borrow().values().cloned().collect();
         for held in held {
@@ -442,7 +450,9 @@
     }
 
     fn take_over(self: &Rc<Self>, target: Target) {
-        let fencing_token = self.token_source.next(clock::wall(), 0, 0);
+        let Some(fencing_token) = self.next_token(&target.id, 0) else {
+            return;
+        };
         info!(self.log, "taking over target"; "target" => %target.id, "fence" => fencing_token,
             "domain" => %target.domain);
         let id = target.id.clone();
@@ -451,6 +461,13 @@
         drop(spawn(poll_loop::run(self.clone(), held)));
     }
 
+    /// Token for taking over a target, with a time at least `step_ms` after that of
+    /// the last one. `None` before the process has an identity.
+    fn next_token(&self, id: &Rc<str>, step_ms: u64) -> Option<u64> {
+        let token_source = self.token_source.borrow();
+        Some(token_source.as_ref()?.next(id, clock::wall(), step_ms))
+    }
+
     /// Releases a target. Its runs belong to the next owner.
     fn release(&self, held: &Rc<HeldTarget>, cause: &str) {
         if held.released.replace(true) {
--- a/crates/fleet/src/scheduler/poll_loop.rs
+++ b/crates/fleet/src/scheduler/poll_loop.rs
@@ -87,11 +87,9 @@
                 // Not acquired yet: the clock of another instance may be ahead.
                 let step_ms = MIN_TOKEN_STEP_MS << token_steps;
                 token_steps += 1;
-                let mut state = held.state.borrow_mut();
-                state.fencing_token =
-                    shared
-                        .token_source
-                        .next(clock::wall(), state.fencing_token, step_ms);
+                if let Some(token) = shared.next_token(&target.id, step_ms) {
+                    held.state.borrow_mut().fencing_token = token;
+                }
             }
             Err(error) => {
                 if !std::mem::replace(&mut unresponsive, true) {
--- a/crates/fleet/src/table_watch.rs
+++ b/crates/fleet/src/table_watch.rs
@@ -19,7 +19,12 @@
 use futures_util::future::{Either, select};
 use slog::{Logger, info, warn};
 
-use crate::{Target, node::Node, read_schedule::Schedule};
+use crate::{
+    Target,
+    identity::{Claim, IdentityStore},
+    node::Node,
+    read_schedule::Schedule,
+};
 
 /// Initial and shortest timeout of an answer, some hundred times the usual
 /// latency.
@@ -213,6 +218,15 @@
         drop(spawn(watch_targets(self.node.clone(), self.reader(table))));
     }
 
+    /// Claims an identity for this process.
+    pub fn claim_identity(&self, store: Rc<dyn IdentityStore>) {
+        drop(spawn(claim_identity(
+            self.node.clone(),
+            store,
+            self.log.clone(),
+        )));
+    }
+
     /// Registers the instance, and watches the others until the process ends.
     pub fn watch_instances(&self, table: Rc<dyn InstanceTable>) {
         drop(spawn(watch_instances(
@@ -482,6 +496,30 @@
     }
 }
 
+/// Claims an identity, with retries until one is stored.
+async fn claim_identity(node: Rc<Node>, store: Rc<dyn IdentityStore>, log: Logger) {
+    let mut claim = Claim::default();
+    let mut timeout = ANSWER_TIMEOUT;
+    loop {
+        let (identity, previous) = claim.next(node.name());
+        match store.claim(identity, previous, timeout).await {
+            Ok(result) if claim.record(result) => {
+                info!(log, "identity claimed"; "number" => identity.number(),
+                    "life" => identity.life());
+                node.set_identity(identity);
+                return;
+            }
+            Ok(result) => info!(log, "identity not available"; "number" => identity.number(),
+                "life" => identity.life(), "result" => ?result),
+            Err(error) => {
+                warn!(log, "identity not claimed"; "error" => %error);
+                timeout = (timeout * 2).min(MAX_ANSWER_TIMEOUT);
+                clock::sleep(MIN_BACKOFF).await;
+            }
+        }
+    }
+}
+
 async fn watch_instances(node: Rc<Node>, reader: TableReader<dyn InstanceTable>) {
     loop {
         let sent_at = clock::now();
--- a/crates/fleet/tests/sessions/system.rs
+++ b/crates/fleet/tests/sessions/system.rs
@@ -18,7 +18,7 @@
     table_watch::{ConfigDocument, InstanceRow, Watcher},
 };
 use bluebellpath_runtime::{LocalFuture, Scope, clock};
-use bluebellpath_standin::{Feed, Mesh, Yard};
+use bluebellpath_standin::{Feed, Identities, Mesh, Yard};
 use slog::{Drain, KV, Key, Logger, OwnedKVList, Record, Serializer, o};
 
 /// Cores of a target.
@@ -65,6 +65,7 @@
     pub target_list: Rc<TargetList>,
     pub config_table: Feed<ConfigDocument>,
     pub instance_table: Feed<InstanceRow>,
+    pub identities: Identities,
     pub mesh: Mesh,
     pub instances: Vec<Instance>,
     pub answers: Answers,
@@ -89,6 +90,7 @@
             target_list: Rc::default(),
             config_table: Feed::default(),
             instance_table: Feed::default(),
+            identities: Identities::default(),
             mesh: Mesh::default(),
             instances: Vec::new(),
             answers: Answers::default(),
@@ -138,6 +140,7 @@
         let node = Node::new(config, target_client, transport, parse_config, log.clone());
         let started_node = node.clone();
         let config_table = Rc::new(self.config_table.side(number));
+        let identities = Rc::new(self.identities.side(&name));
         let instance_table = Rc::new(self.instance_table.member(number, &name, address));
         drop(scope.spawn(async move {
             for peer in 0..layout.domains * layout.instances {
@@ -146,6 +149,7 @@
             started_node.start();
             let watcher = Watcher::new(&started_node, &log);
             watcher.watch_configuration(config_table);
+            watcher.claim_identity(identities);
             watcher.watch_instances(instance_table);
             started_node.replace_targets(target_list_version(), targets.list());
             loop {
