Keep the messages of an instance from growing with the deployment

A front whose link was full for half a second was taken for failed by all, and what followed cost more than what had filled the link:

* each round of a search, every 60 ms, sent a claim with the whole specification to every instance for every run of a lost owner (7,033 calls for 4 runs among 72 instances).
Only owners that may have the run are asked now: the one it was sent to, those that hold or should hold its targets, and those asked before.
A claim carries no specification; the rounds come up to 160 ms apart.
* each peer that joined was answered by a heartbeat to all peers (4,347 heartbeats of each instance at a common start of 72).
Only the new peer gets one, and a change of the owned targets is announced once a tick.
* each change of a peer hashed every target with every instance, at 1,100 targets and 147 instances 160,000 hashes, on 0.09 of a core.
Instances and targets are hashed once and targets are compared with the instances of their domain, once a tick.
* heartbeats to other domains grew with their instances (410 a second at 72); 16 an interval go out now, in turn, and the failure timeout of such a peer grows in proportion.
Up to 32 instances in other domains nothing changes.
The loss of a remote owner or frontend is detected by its connection, as before.
* a heartbeat of an instance with about 160 targets was too large and not sent, so the last instances of a domain counted as failed.
An instance holds 128 at most.
* instances that started together read the table of instances once for each of them; they pause 250 ms between two reads.

--- a/crates/fleet/src/frontend/mod.rs
+++ b/crates/fleet/src/frontend/mod.rs
@@ -34,10 +34,11 @@
 use crate::{
     InjectedFault, JobId, Resources, Target, TaskId,
     admission::{self, Decision, Estimate},
-    membership::{CallError, Heartbeat, Membership, Reply, Request, Transport},
+    membership::{CallError, Membership, Peer, Reply, Request, Transport},
     messages::{ClockReading, NotStartedReason, RunOutcome, RunRequest},
     owner_selection::{self, Demand, Distance, Owner},
     scheduler::{DropPolicy, Scheduler},
+    target_list::TargetList,
 };
 
 /// Pause before a task that no owner accepted is offered again.
@@ -151,6 +152,7 @@
     config: Config,
     scheduler: Scheduler,
     membership: Rc<Membership>,
+    target_list: Rc<RefCell<TargetList>>,
     transport: Rc<dyn Transport>,
     log: Logger,
     /// Jobs in progress, with their queues.
@@ -179,6 +181,7 @@
         config: Config,
         scheduler: Scheduler,
         membership: Rc<Membership>,
+        target_list: Rc<RefCell<TargetList>>,
         transport: Rc<dyn Transport>,
         log: Logger,
     ) -> Frontend {
@@ -186,6 +189,7 @@
             config,
             scheduler,
             membership,
+            target_list,
             transport,
             log,
             jobs: RefCell::default(),
@@ -326,14 +330,15 @@
             return false;
         }
         let alive = self.membership.live_peers();
-        let in_domain = |it: &&Heartbeat| it.domain == self.config.domain;
-        let peers: Vec<&Heartbeat> = match alive.iter().any(|it| in_domain(&it)) {
+        let in_domain = |it: &&Peer| it.heartbeat.domain == self.config.domain;
+        let peers: Vec<&Peer> = match alive.iter().any(|it| in_domain(&it)) {
             true => alive.iter().filter(in_domain).collect(),
             false => alive.iter().collect(),
         };
-        let peers = peers
-            .iter()
-            .map(|it| self.transport.call(it.address, Request::Block(job)));
+        let peers = peers.iter().map(|it| {
+            self.transport
+                .call(it.heartbeat.address, Request::Block(job))
+        });
         let answers = clock::timeout(BLOCK_TIMEOUT, join_all(peers)).await;
         answers.is_some_and(|it| it.iter().all(|it| matches!(it, Ok(Reply::Accepted))))
     }
@@ -477,8 +482,9 @@
             let run_request = self.build_run_request(active_job, step, task, run);
             let run_outcome = match self.send_run(active_job, &run_request).await {
                 RunStatus::Ended(run_outcome) => run_outcome,
-                RunStatus::MaybeOn(short_ids) => {
-                    self.find_run(active_job, &run_request, &short_ids).await
+                RunStatus::MaybeOn { owner, short_ids } => {
+                    self.find_run(active_job, &run_request, owner, &short_ids)
+                        .await
                 }
             };
             active_job.unanswered_runs.borrow_mut().remove(&(task, run));
@@ -576,7 +582,7 @@
                 .scheduler
                 .run(run_request.clone(), DropPolicy::Stop)
                 .await;
-            return locate(run_outcome, self.scheduler.short_ids());
+            return locate(run_outcome, owner, self.scheduler.short_ids());
         }
         let recipient = self.membership.recipient(owner);
         let run_request = &RunRequest {
@@ -600,8 +606,8 @@
         };
         match reply {
             Ok(Reply::Ended(run_outcome, load)) => {
-                self.membership.update_load(owner, load);
-                locate(run_outcome, run_request.eligible_targets.to_vec())
+                self.membership.update_load(owner, Rc::new(load));
+                locate(run_outcome, owner, run_request.eligible_targets.to_vec())
             }
             Ok(_) | Err(CallError::NotSent) => {
                 self.pause_peer(owner);
@@ -611,7 +617,10 @@
                 self.pause_peer(owner);
                 info!(self.log, "owner lost"; "task" => %run_request.task, "run" => run_request.run,
                     "owner" => %owner);
-                RunStatus::MaybeOn(run_request.eligible_targets.to_vec())
+                RunStatus::MaybeOn {
+                    owner,
+                    short_ids: run_request.eligible_targets.to_vec(),
+                }
             }
         }
     }
@@ -663,17 +672,18 @@
         let failing_peers = self.failing_peers.borrow();
         let mut owners = vec![Owner {
             distance: Distance::Local,
-            load: self.scheduler.load(),
+            load: Rc::new(self.scheduler.load()),
             reachable: true,
         }];
         let mut addresses = vec![self.config.address];
-        for heartbeat in self.membership.live_peers() {
+        for peer in self.membership.live_peers() {
+            let heartbeat = &peer.heartbeat;
             owners.push(Owner {
                 distance: match heartbeat.domain == self.config.domain {
                     true => Distance::SameDomain,
                     false => Distance::OtherDomain,
                 },
-                load: heartbeat.load,
+                load: peer.load,
                 reachable: !heartbeat.leaving && !failing_peers.contains_key(&heartbeat.address),
             });
             addresses.push(heartbeat.address);
@@ -686,14 +696,23 @@
 enum RunStatus {
     /// The run is over.
     Ended(RunOutcome),
-    /// One of the targets with these short ids may still have it.
-    MaybeOn(Vec<u32>),
+    /// This owner, or one of the targets with these short ids, may still have it.
+    MaybeOn {
+        owner: SocketAddr,
+        short_ids: Vec<u32>,
+    },
 }
 
-fn locate(run_outcome: RunOutcome, target_short_ids: Vec<u32>) -> RunStatus {
+fn locate(run_outcome: RunOutcome, owner: SocketAddr, target_short_ids: Vec<u32>) -> RunStatus {
     match run_outcome {
-        RunOutcome::Moved { target } => RunStatus::MaybeOn(vec![Target::short_id(&target)]),
-        RunOutcome::Superseded => RunStatus::MaybeOn(target_short_ids),
+        RunOutcome::Moved { target } => RunStatus::MaybeOn {
+            owner,
+            short_ids: vec![Target::short_id(&target)],
+        },
+        RunOutcome::Superseded => RunStatus::MaybeOn {
+            owner,
+            short_ids: target_short_ids,
+        },
         run_outcome => RunStatus::Ended(run_outcome),
     }
 }
--- a/crates/fleet/src/frontend/search.rs
+++ b/crates/fleet/src/frontend/search.rs
@@ -20,25 +20,32 @@
     scheduler::DropPolicy,
 };
 
-/// Time between two rounds of a search.
-const SEARCH_INTERVAL: Duration = Duration::from_millis(60);
+/// Time from the first to the second round of a search.
+const MIN_SEARCH_INTERVAL: Duration = Duration::from_millis(60);
+
+/// Longest time between two rounds. A new owner keeps a run for several of them
+/// until it is claimed.
+const MAX_SEARCH_INTERVAL: Duration = Duration::from_millis(160);
 
 impl Shared {
-    /// Asks all owners for a run until it has ended or no target in `short_ids` can
-    /// have it any more.
+    /// Searches for a run that was sent to `owner`, until it has ended or no target
+    /// in `short_ids` can have it any more.
     pub(super) async fn find_run(
         self: &Rc<Self>,
         active_job: &ActiveJob<'_>,
         run_request: &RunRequest,
+        owner: SocketAddr,
         short_ids: &[u32],
     ) -> RunOutcome {
         active_job.started.set(true);
         let run_request = &RunRequest {
             eligible_targets: short_ids.into(),
+            // An owner that has the run has its specification or needs none.
+            spec: Rc::from(""),
             ..run_request.clone()
         };
         let since = clock::now();
-        if let Some(run_outcome) = self.query_owners(run_request, short_ids).await {
+        if let Some(run_outcome) = self.query_owners(run_request, owner, short_ids).await {
             return run_outcome;
         }
         info!(self.log, "run not found again"; "task" => %run_request.task, "run" => run_request.run,
@@ -46,15 +53,21 @@
         RunOutcome::Lost
     }
 
-    /// Claims a run at all owners repeatedly until one returns how it ended.
-    /// Returns `None` once no owner has it, or [`Config::orphan_timeout`] after
-    /// the last time at which an owner may have had it.
+    /// Claims a run repeatedly, at the owners that may have it, until one returns how
+    /// it ended. Returns `None` once no owner has it, or
+    /// [`Config::orphan_timeout`] after the last time at which an owner may have
+    /// had it.
+    ///
+    /// These are the owner to which the run was sent, those that hold or should
+    /// hold its targets, and those that were asked before. Nobody else knows the
+    /// run: an owner places it only on the targets that the request names.
     ///
     /// An owner that adopts the run answers only when the run ends, and one that
     /// has failed never answers. Neither delays the replies of the others.
     async fn query_owners(
         self: &Rc<Self>,
         run_request: &RunRequest,
+        owner: SocketAddr,
         short_ids: &[u32],
     ) -> Option<RunOutcome> {
         let mut search_end = clock::now() + self.config.orphan_timeout;
@@ -63,9 +76,13 @@
         let mut claims = PendingClaims::new();
         // Live owners that had not answered at the end of the last round.
         let mut pending_before = BTreeSet::new();
+        let mut suspects = BTreeSet::from([owner, self.config.address]);
+        let mut interval = MIN_SEARCH_INTERVAL;
         loop {
-            self.send_claims(run_request, short_ids, &mut claims);
-            let round_end = clock::now() + SEARCH_INTERVAL;
+            suspects.extend(self.possible_owners(short_ids));
+            self.send_claims(run_request, short_ids, &suspects, &mut claims);
+            let round_end = clock::now() + interval;
+            interval = (interval * 3 / 2).min(MAX_SEARCH_INTERVAL);
             while let Some(Some((owner, reply))) = clock::timeout_at(round_end, claims.next()).await
             {
                 match reply {
@@ -90,6 +107,7 @@
             // Any live owner that has not denied the run may have it.
             let mut owners = self.membership.live_addresses();
             owners.push(self.config.address);
+            owners.retain(|it| suspects.contains(it));
             let is_pending = |it: &SocketAddr| claims.iter().any(|claim| claim.owner == *it);
             let pending: BTreeSet<_> = owners.iter().copied().filter(is_pending).collect();
             if pending_before.iter().any(|it| !owners.contains(it)) {
@@ -112,11 +130,32 @@
         }
     }
 
-    /// Claims a run at every owner without a pending claim.
+    /// Returns the live owners that hold or should hold the targets with these short
+    /// ids.
+    fn possible_owners(&self, short_ids: &[u32]) -> Vec<SocketAddr> {
+        let holders = self.membership.holders_of(short_ids);
+        let mut owners: Vec<_> = holders.iter().map(|it| it.1).collect();
+        let unheld = short_ids
+            .iter()
+            .filter(|id| !holders.iter().any(|it| it.0 == **id));
+        let target_list = self.target_list.borrow();
+        let targets: Vec<_> = unheld.filter_map(|it| target_list.find(*it)).collect();
+        if targets.is_empty() {
+            return owners;
+        }
+        let assignment = self.membership.assignment_to_peers();
+        let targets = targets.into_iter();
+        let next_owners = targets.filter_map(|it| assignment.owner_of(&it.id, &it.domain));
+        owners.extend(next_owners.filter_map(|it| self.membership.address_of(it)));
+        owners
+    }
+
+    /// Claims a run at every live owner in `suspects` without a pending claim.
     fn send_claims(
         self: &Rc<Self>,
         run_request: &RunRequest,
         short_ids: &[u32],
+        suspects: &BTreeSet<SocketAddr>,
         claims: &mut PendingClaims,
     ) {
         let queried: Vec<_> = claims.iter().map(|it| it.owner).collect();
@@ -136,9 +175,8 @@
                 reply: Box::pin(reply),
             });
         }
-        for heartbeat in self.membership.live_peers() {
-            let owner = heartbeat.address;
-            if queried.contains(&owner) {
+        for owner in self.membership.live_addresses() {
+            if queried.contains(&owner) || !suspects.contains(&owner) {
                 continue;
             }
             let cancel_guard = CancelOnDrop::new(self, owner, run_request);
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -1,13 +1,22 @@
 /*!
 The other entry instances: which are alive, and their load.
 
-Every instance sends a [`Heartbeat`] to each peer several times a second. A peer
-that stays silent for [`Config::failure_timeout`] counts as failed: other
-instances take over its targets, and owners stop what they run for its jobs.
-Work is sent as a [`Request`] over a connection.
+Every instance sends a [`Heartbeat`] to each peer of its failure domain several
+times a second, and to the peers of other domains in turn, so that the number of
+heartbeats per second does not grow with theirs. A peer that stays silent for
+[`Config::failure_timeout`], or longer in proportion to the time between its
+heartbeats, counts as failed: other instances take over its targets, and owners
+stop what they run for its jobs. Work is sent as a [`Request`] over a connection,
+which detects the loss of the other side by itself.
 */
 
-use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use bluebellpath_runtime::{Instant, LocalFuture, Notify, clock};
 use serde::{Deserialize, Serialize};
@@ -16,10 +25,17 @@
     JobId, TaskId,
     config::Observation,
     messages::{ClockReading, Load, RunOutcome, RunRequest},
-    ownership::{self, Candidate},
+    ownership::{Assignment, Candidate},
     target_list::Delta,
 };
 
+/// Most heartbeats to peers of other domains in one interval.
+const REMOTE_HEARTBEATS_PER_INTERVAL: usize = 16;
+
+/// Smallest number of intervals for one heartbeat to each peer of another domain.
+/// [`Config::failure_timeout`] is meant for this number.
+const MIN_REMOTE_PERIOD: u16 = 2;
+
 /// State that an instance announces to its peers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -46,6 +62,9 @@
     pub target_short_ids: Vec<u32>,
     /// Newest configuration that it knows.
     pub newest_config: Observation,
+    /// Number of heartbeat intervals in which each peer of another domain gets one
+    /// heartbeat.
+    pub remote_period: u16,
 }
 
 /// Request to another instance.
@@ -57,7 +76,7 @@
     /// Adopt a run that another owner started. The reply comes when the run
     /// ends, or at once if no target of the receiver has it.
     Claim {
-        /// Run to adopt.
+        /// Run to adopt, without its specification.
         run_request: RunRequest,
         /// Short ids of the targets that may have it.
         short_ids: Vec<u32>,
@@ -110,8 +129,8 @@
 
 /// Connection to the other instances.
 pub trait Transport {
-    /// Sends a heartbeat, which may be lost.
-    fn send_heartbeat(&self, to: SocketAddr, heartbeat: &Heartbeat);
+    /// Sends a heartbeat to some peers. Each may miss it.
+    fn send_heartbeat(&self, to: &[SocketAddr], heartbeat: &Heartbeat);
 
     /// Sends a request and waits for the reply.
     fn call(
@@ -133,10 +152,13 @@
 /// Peer as of its last heartbeat.
 #[derive(Clone, Debug)]
 pub struct Peer {
-    /// Last heartbeat.
-    pub heartbeat: Heartbeat,
+    /// Last heartbeat, without its load.
+    pub heartbeat: Rc<Heartbeat>,
+    /// Load of its targets as last known.
+    pub load: Rc<Load>,
     /// When the last heartbeat arrived.
     pub received_at: Instant,
+    candidate: Candidate,
     /// False once the peer counts as failed.
     alive: bool,
 }
@@ -167,17 +189,19 @@
 pub struct Membership {
     config: Config,
     name: Rc<str>,
+    domain: Rc<str>,
     addresses: RefCell<BTreeMap<SocketAddr, Instant>>,
     peers: RefCell<BTreeMap<Rc<str>, Peer>>,
     peer_lost: Notify,
 }
 
 impl Membership {
-    /// Creates the membership of the instance `name`, without peers.
-    pub fn new(name: Rc<str>, config: Config) -> Membership {
+    /// Creates the membership of the instance `name` in `domain`, without peers.
+    pub fn new(name: Rc<str>, domain: Rc<str>, config: Config) -> Membership {
         Membership {
             config,
             name,
+            domain,
             addresses: RefCell::default(),
             peers: RefCell::default(),
             peer_lost: Notify::new(),
@@ -195,8 +219,42 @@
         self.addresses.borrow().keys().copied().collect()
     }
 
+    /// Number of heartbeat intervals in which each peer of another domain gets one
+    /// heartbeat.
+    pub fn remote_period(&self) -> u16 {
+        let remote = self.addresses.borrow().len() - self.local_addresses().len();
+        let period = remote.div_ceil(REMOTE_HEARTBEATS_PER_INTERVAL);
+        u16::try_from(period)
+            .unwrap_or(u16::MAX)
+            .max(MIN_REMOTE_PERIOD)
+    }
+
+    /// Returns the addresses that get the heartbeat with this sequence number: all
+    /// in the domain of this instance, and a part of the others.
+    pub fn recipients(&self, sequence: u64) -> Vec<SocketAddr> {
+        let (local, period) = (self.local_addresses(), u64::from(self.remote_period()));
+        let mut turn = sequence;
+        let addresses = self.addresses.borrow();
+        let due = addresses.keys().filter(|it| {
+            if local.contains(it) {
+                return true;
+            }
+            turn += 1;
+            turn.is_multiple_of(period)
+        });
+        due.copied().collect()
+    }
+
+    fn local_addresses(&self) -> BTreeSet<SocketAddr> {
+        let peers = self.peers.borrow();
+        let local = peers
+            .values()
+            .filter(|it| it.alive && it.heartbeat.domain == self.domain);
+        local.map(|it| it.heartbeat.address).collect()
+    }
+
     /// Records a heartbeat and returns the changes that it causes.
-    pub fn record_heartbeat(&self, heartbeat: Heartbeat) -> Vec<Change> {
+    pub fn record_heartbeat(&self, mut heartbeat: Heartbeat) -> Vec<Change> {
         if heartbeat.name == self.name {
             return Vec::new();
         }
@@ -229,8 +287,22 @@
             Some(_) => {}
             None => changes.push(Change::Joined(name.clone())),
         }
+        let load = Rc::new(std::mem::take(&mut heartbeat.load));
+        let candidate = match known.map(|it| (&it.heartbeat, &it.candidate)) {
+            Some((last, candidate))
+                if (&last.domain, last.weight) == (&heartbeat.domain, heartbeat.weight) =>
+            {
+                candidate.clone()
+            }
+            _ => {
+                let (name, domain) = (heartbeat.name.clone(), heartbeat.domain.clone());
+                Candidate::new(name, domain, heartbeat.weight)
+            }
+        };
         let peer = Peer {
-            heartbeat,
+            heartbeat: Rc::new(heartbeat),
+            load,
+            candidate,
             received_at: clock::now(),
             alive: true,
         };
@@ -247,7 +319,7 @@
         let now = clock::now();
         let mut changes = Vec::new();
         for (name, peer) in self.peers.borrow_mut().iter_mut() {
-            if peer.alive && now - peer.received_at > self.config.failure_timeout {
+            if peer.alive && now - peer.received_at > self.failure_timeout(&peer.heartbeat) {
                 peer.alive = false;
                 changes.push(Change::Lost(name.clone(), peer.heartbeat.address));
             }
@@ -258,6 +330,15 @@
         changes
     }
 
+    /// Silence after which the sender of `heartbeat` counts as failed.
+    fn failure_timeout(&self, heartbeat: &Heartbeat) -> Duration {
+        let period = match heartbeat.domain == self.domain {
+            true => MIN_REMOTE_PERIOD,
+            false => heartbeat.remote_period.max(MIN_REMOTE_PERIOD),
+        };
+        self.config.failure_timeout * u32::from(period) / u32::from(MIN_REMOTE_PERIOD)
+    }
+
     /// Waits until the current incarnation of the peer at `address` has failed.
     pub async fn wait_until_gone(&self, address: SocketAddr) {
         let incarnation_of = |it: &Membership| {
@@ -272,11 +353,29 @@
         }
     }
 
-    /// Returns the last heartbeats of all live peers.
-    pub fn live_peers(&self) -> Vec<Heartbeat> {
+    /// Returns all live peers.
+    pub fn live_peers(&self) -> Vec<Peer> {
+        let peers = self.peers.borrow();
+        peers.values().filter(|it| it.alive).cloned().collect()
+    }
+
+    /// Returns the live peers that hold targets with these short ids, as pairs of
+    /// the short id and the address of the holder.
+    pub fn holders_of(&self, short_ids: &[u32]) -> Vec<(u32, SocketAddr)> {
         let peers = self.peers.borrow();
         let alive = peers.values().filter(|it| it.alive);
-        alive.map(|it| it.heartbeat.clone()).collect()
+        let held = alive.flat_map(|it| {
+            let held = it.heartbeat.target_short_ids.iter();
+            held.map(|id| (*id, it.heartbeat.address))
+        });
+        held.filter(|it| short_ids.contains(&it.0)).collect()
+    }
+
+    /// Returns the address of the live peer `name`.
+    pub fn address_of(&self, name: &str) -> Option<SocketAddr> {
+        let peers = self.peers.borrow();
+        let peer = peers.get(name).filter(|it| it.alive);
+        peer.map(|it| it.heartbeat.address)
     }
 
     /// Returns the addresses of all live peers.
@@ -328,48 +427,52 @@
     }
 
     /// Replaces the load of the peer at `address`.
-    pub fn update_load(&self, address: SocketAddr, load: Load) {
+    pub fn update_load(&self, address: SocketAddr, load: Rc<Load>) {
         let mut peers = self.peers.borrow_mut();
         let peer = peers
             .values_mut()
             .find(|it| it.heartbeat.address == address);
         if let Some(peer) = peer {
-            peer.heartbeat.load = load;
+            peer.load = load;
         }
     }
 
-    /// Returns the instance that should own the target `id` in `domain`, from
-    /// the view of `own`.
+    /// Returns the assignment of targets to the live peers alone.
+    pub fn assignment_to_peers(&self) -> Assignment {
+        Assignment::new(self.candidates())
+    }
+
+    fn candidates(&self) -> Vec<Candidate> {
+        let peers = self.peers.borrow();
+        let candidates = peers
+            .values()
+            .filter(|it| it.alive && !it.heartbeat.leaving);
+        candidates.map(|it| it.candidate.clone()).collect()
+    }
+
+    /// Returns the assignment of targets to the live peers, and to `own` unless it
+    /// is leaving.
     ///
     /// A domain whose instances are all silent may be partitioned rather than
     /// down. An instance that hears nobody outside its own domain assumes that
     /// it is itself cut off, and leaves the targets of known other domains
     /// alone.
-    pub fn preferred_owner(
-        &self,
-        id: &str,
-        domain: &str,
-        own: Candidate<'_>,
-        leaving: bool,
-    ) -> Option<Rc<str>> {
+    pub fn assignment(&self, own: &Candidate, leaving: bool) -> Assignment {
         let peers = self.peers.borrow();
-        let in_other_domain = |it: &&Peer| it.heartbeat.domain.as_ref() != own.domain;
-        let domain_known = peers
-            .values()
-            .any(|it| it.heartbeat.domain.as_ref() == domain);
+        let in_other_domain = |it: &&Peer| it.heartbeat.domain != self.domain;
         let isolated = !peers.values().filter(in_other_domain).any(|it| it.alive);
-        if own.domain != domain && domain_known && isolated {
-            return None;
-        }
-        let candidates = peers
+        let known_domains: BTreeSet<Rc<str>> = peers
             .values()
-            .filter(|it| it.alive && !it.heartbeat.leaving);
-        let candidates = candidates.map(|it| Candidate {
-            name: &it.heartbeat.name,
-            domain: &it.heartbeat.domain,
-            weight: it.heartbeat.weight,
-        });
-        let own = (!leaving).then_some(own);
-        ownership::choose(id, domain, candidates.chain(own)).map(Rc::from)
+            .filter(in_other_domain)
+            .map(|it| it.heartbeat.domain.clone())
+            .collect();
+        let own = (!leaving).then(|| own.clone());
+        let mut assignment = Assignment::new(self.candidates().into_iter().chain(own));
+        if isolated {
+            for domain in known_domains {
+                assignment.keep_unassigned(domain);
+            }
+        }
+        assignment
     }
 }
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -25,7 +25,7 @@
     config::{Config as QueueConfig, Observation},
     frontend::{self, Frontend},
     identity::Identity,
-    membership::{self, Change, Heartbeat, Membership, Reply, Request, Transport},
+    membership::{self, Change, Heartbeat, Membership, Peer, Reply, Request, Transport},
     messages::{ClockReading, NotStartedReason, RunOutcome, RunRequest},
     ownership::Candidate,
     scheduler::{self, DropPolicy, Scheduler},
@@ -37,9 +37,6 @@
 /// Time between two passes over waiting work and silent peers.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Peers of other failure domains get one heartbeat in this many.
-const REMOTE_HEARTBEAT_DIVISOR: u64 = 2;
-
 /// Time after its start in which an instance takes over no targets of other
 /// domains. Instances that lost power together start within a few tenths of a
 /// second.
@@ -94,13 +91,14 @@
 pub struct Node {
     config: Config,
     incarnation: u64,
+    candidate: Candidate,
     scheduler: Scheduler,
     frontend: Frontend,
     membership: Rc<Membership>,
     transport: Rc<dyn Transport>,
     decode: Decode,
     log: Logger,
-    target_list: RefCell<TargetList>,
+    target_list: Rc<RefCell<TargetList>>,
     queue_config: RefCell<Rc<QueueConfig>>,
     /// Newest version of the platform's tables at which the configuration in
     /// force was still current, and when this instance learned that.
@@ -108,6 +106,10 @@
     /// Notified when a peer announces a newer configuration.
     newer_config: Notify,
     heartbeat_sequence: Cell<u64>,
+    /// True while the next tick is to send heartbeats.
+    heartbeats_due: Cell<bool>,
+    /// True while the next tick is to compute which targets to own.
+    ownership_due: Cell<bool>,
     leaving: Cell<bool>,
     started_at: Instant,
     /// True once [`STARTUP_GRACE`] has passed.
@@ -128,7 +130,14 @@
             ..config.scheduler
         };
         let scheduler = Scheduler::new(scheduler_config, orders, log.clone());
-        let membership = Rc::new(Membership::new(config.name.clone(), config.membership));
+        let membership = Rc::new(Membership::new(
+            config.name.clone(),
+            config.domain.clone(),
+            config.membership,
+        ));
+        let (name, domain) = (config.name.clone(), config.domain.clone());
+        let candidate = Candidate::new(name, domain, config.weight);
+        let target_list = Rc::default();
         let frontend = Frontend::new(
             frontend::Config {
                 name: config.name.clone(),
@@ -139,23 +148,27 @@
             },
             scheduler.clone(),
             membership.clone(),
+            Rc::clone(&target_list),
             transport.clone(),
             log.clone(),
         );
         Rc::new(Node {
             config,
             incarnation: clock::wall(),
+            candidate,
             scheduler,
             frontend,
             membership,
             transport,
             decode,
             log,
-            target_list: RefCell::default(),
+            target_list,
             queue_config: RefCell::default(),
             config_confirmed: Cell::default(),
             newer_config: Notify::new(),
             heartbeat_sequence: Cell::new(0),
+            heartbeats_due: Cell::new(false),
+            ownership_due: Cell::new(false),
             leaving: Cell::new(false),
             started_at: clock::now(),
             startup_grace_over: Cell::new(false),
@@ -244,12 +257,12 @@
             let notified = self.newer_config.notified();
             let version = self.queue_config.borrow().version;
             let mut newer = self.membership.live_peers();
-            newer.retain(|it| it.newest_config.config_version > version);
-            newer.sort_by_key(|it| it.domain != self.config.domain);
+            newer.retain(|it| it.heartbeat.newest_config.config_version > version);
+            newer.sort_by_key(|it| it.heartbeat.domain != self.config.domain);
             if !newer.is_empty() {
-                let source = |it: Heartbeat| ConfigSource {
-                    observation: it.newest_config,
-                    peer: it.address,
+                let source = |it: Peer| ConfigSource {
+                    observation: it.heartbeat.newest_config,
+                    peer: it.heartbeat.address,
                 };
                 return newer.into_iter().map(source).collect();
             }
@@ -305,9 +318,12 @@
                 let changes = node.membership.expire_silent_peers();
                 node.handle_changes(changes);
                 node.end_startup_grace();
-                if node.scheduler.backoff_expired() {
+                if node.ownership_due.take() || node.scheduler.backoff_expired() {
                     node.update_owned_targets();
                 }
+                if node.heartbeats_due.take() {
+                    node.send_heartbeats();
+                }
                 node.scheduler.tick();
                 node.frontend.tick();
             }
@@ -415,6 +431,7 @@
     /// Handles a heartbeat of a peer.
     pub fn receive_heartbeat(self: &Rc<Self>, heartbeat: Heartbeat) {
         let (own_version, newest) = (self.queue_config.borrow().version, heartbeat.newest_config);
+        let sender = heartbeat.address;
         let changes = self.membership.record_heartbeat(heartbeat);
         match newest.config_version.cmp(&own_version) {
             Ordering::Greater => self.newer_config.notify(),
@@ -422,7 +439,7 @@
             Ordering::Less => {}
         }
         if changes.iter().any(|it| matches!(it, Change::Joined(_))) {
-            self.send_heartbeats();
+            self.transport.send_heartbeat(&[sender], &self.heartbeat());
         }
         self.handle_changes(changes);
     }
@@ -550,7 +567,7 @@
                 }
             }
         }
-        self.update_owned_targets();
+        self.ownership_due.set(true);
     }
 
     /// Allows this instance to take over targets of other domains once their own
@@ -564,37 +581,35 @@
 
     /// Takes over the targets that this instance should own.
     fn update_owned_targets(&self) {
-        let own = Candidate {
-            name: &self.config.name,
-            domain: &self.config.domain,
-            weight: self.config.weight,
-        };
+        let assignment = self
+            .membership
+            .assignment(&self.candidate, self.leaving.get());
         let target_list = self.target_list.borrow();
         let targets = target_list.targets();
-        let leaving = self.leaving.get();
-        let eligible =
-            |it: &Target| self.startup_grace_over.get() || it.domain == self.config.domain;
-        let owned = targets.values().filter(|it| eligible(it)).filter(|it| {
-            let owner = self
-                .membership
-                .preferred_owner(&it.id, &it.domain, own, leaving);
-            owner.as_deref() == Some(&*self.config.name)
+        let own_domain = &self.config.domain;
+        let may_own_remote = self.startup_grace_over.get();
+        let eligible = |it: &&Target| {
+            it.domain == *own_domain || may_own_remote && assignment.is_open(&it.domain)
+        };
+        let owned = targets.values().filter(eligible).filter(|it| {
+            let owner = assignment.owner_of(&it.id, &it.domain);
+            owner == Some(&self.config.name)
         });
         let owned: Vec<Target> = owned.cloned().collect();
         let before = self.scheduler.short_ids();
         self.scheduler.assign_targets(&owned);
         // Frontends send work only to targets that a heartbeat has announced.
         if self.scheduler.short_ids() != before {
-            self.send_heartbeats();
+            self.heartbeats_due.set(true);
         }
         self.scheduler
             .refresh_targets(&|id| targets.get(id).cloned());
     }
 
-    fn send_heartbeats(&self) {
+    fn heartbeat(&self) -> Heartbeat {
         let sequence = self.heartbeat_sequence.get() + 1;
         self.heartbeat_sequence.set(sequence);
-        let heartbeat = Heartbeat {
+        Heartbeat {
             name: self.config.name.clone(),
             incarnation: self.incarnation,
             clocks: ClockReading::now(),
@@ -604,25 +619,16 @@
             weight: self.config.weight,
             leaving: self.leaving.get(),
             load: self.scheduler.load(),
-            target_short_ids: self
-                .scheduler
-                .target_ids()
-                .iter()
-                .map(|it| Target::short_id(it))
-                .collect(),
+            target_short_ids: self.scheduler.short_ids(),
             newest_config: self.config_observation(),
-        };
-        let remote: Vec<SocketAddr> = {
-            let alive = self.membership.live_peers();
-            let remote = alive.iter().filter(|it| it.domain != self.config.domain);
-            remote.map(|it| it.address).collect()
-        };
-        for address in self.membership.addresses() {
-            let due =
-                sequence.is_multiple_of(REMOTE_HEARTBEAT_DIVISOR) || !remote.contains(&address);
-            if address != self.config.address && due {
-                self.transport.send_heartbeat(address, &heartbeat);
-            }
+            remote_period: self.membership.remote_period(),
         }
     }
+
+    fn send_heartbeats(&self) {
+        let heartbeat = self.heartbeat();
+        let mut recipients = self.membership.recipients(heartbeat.sequence);
+        recipients.retain(|it| *it != self.config.address);
+        self.transport.send_heartbeat(&recipients, &heartbeat);
+    }
 }
--- a/crates/fleet/src/owner_selection.rs
+++ b/crates/fleet/src/owner_selection.rs
@@ -9,7 +9,7 @@
 once, so that one frontend does not use the same free cores twice.
 */
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use crate::messages::Load;
 
@@ -30,7 +30,7 @@
     /// Distance from this instance.
     pub distance: Distance,
     /// Load.
-    pub load: Load,
+    pub load: Rc<Load>,
     /// False while calls to it fail.
     pub reachable: bool,
 }
@@ -63,7 +63,7 @@
     });
     let best = with_free_cores.min_by_key(|it| (it.1, std::cmp::Reverse(it.2)));
     if let Some((index, ..)) = best {
-        let all_free_cores = &mut owners[index].load.free_cores;
+        let all_free_cores = &mut Rc::make_mut(&mut owners[index].load).free_cores;
         let tightest = all_free_cores
             .iter_mut()
             .filter(|it| **it >= demand.cores)
@@ -81,6 +81,6 @@
         .min_by_key(|(index, wait)| (*wait, owners[*index].distance))?;
     let work =
         u64::from(demand.cores) * u64::try_from(demand.run_time.as_millis()).unwrap_or(u64::MAX);
-    owners[index].load.add_backlog(demand.priority, work);
+    Rc::make_mut(&mut owners[index].load).add_backlog(demand.priority, work);
     Some((index, Duration::from_millis(wait)))
 }
--- a/crates/fleet/src/scheduler/mod.rs
+++ b/crates/fleet/src/scheduler/mod.rs
@@ -57,6 +57,10 @@
 /// request from a frontend may be in transit.
 const DENY_DURATION: Duration = Duration::from_secs(10);
 
+/// Most targets that are held. A heartbeat has no room for more, and an instance
+/// without heartbeats counts as failed.
+const MAX_HELD_TARGETS: usize = 128;
+
 const MILLICORES_PER_CORE: u32 = 1_000;
 
 /// Timing of a scheduler.
@@ -446,7 +450,8 @@
 
     fn may_take_over(&self, id: &str, now: Instant) -> bool {
         let backoffs = self.backoffs.borrow();
-        !self.leaving.get() && backoffs.get(id).is_none_or(|it| now >= it.0)
+        let has_room = self.held_targets.borrow().len() < MAX_HELD_TARGETS;
+        has_room && !self.leaving.get() && backoffs.get(id).is_none_or(|it| now >= it.0)
     }
 
     fn take_over(self: &Rc<Self>, target: Target) {
@@ -643,7 +648,10 @@
                 && let Some(reply) = reply.take()
             {
                 queued.reply = reply;
-                queued.request = request.clone();
+                queued.request = RunRequest {
+                    spec: queued.request.spec.clone(),
+                    ..request.clone()
+                };
             }
             return Adoption::Running;
         }
--- a/crates/fleet/src/table_watch.rs
+++ b/crates/fleet/src/table_watch.rs
@@ -48,6 +48,11 @@
 /// covers rows that a stale view did not show.
 const INSTANCES_POLL_WAIT: Duration = Duration::from_secs(24);
 
+/// Pause between two reads of the instances. Instances that start together register
+/// one after the other, and each row would otherwise cost every other instance a
+/// query.
+const INSTANCES_READ_PAUSE: Duration = Duration::from_millis(250);
+
 /// First pause after a failed query.
 const MIN_BACKOFF: Duration = Duration::from_millis(150);
 
@@ -538,6 +543,7 @@
                     None => info!(reader.log, "instance left"; "instance" => &**name),
                 }
             }
+            clock::sleep(INSTANCES_READ_PAUSE).await;
             match reader.changes(page.version, INSTANCES_POLL_WAIT).await {
                 Some(changes) => page = changes,
                 None => break,
--- a/crates/fleet/src/target_list.rs
+++ b/crates/fleet/src/target_list.rs
@@ -42,6 +42,7 @@
 pub struct TargetList {
     version: Option<u64>,
     targets: BTreeMap<Rc<str>, Target>,
+    ids: BTreeMap<u32, Rc<str>>,
     last_read: Option<Instant>,
 }
 
@@ -56,9 +57,16 @@
         &self.targets
     }
 
+    /// Returns the target with this short id.
+    pub fn find(&self, short_id: u32) -> Option<&Target> {
+        self.targets.get(self.ids.get(&short_id)?)
+    }
+
     /// Replaces the whole list.
     pub fn replace(&mut self, version: u64, targets: BTreeMap<Rc<str>, Target>) {
         self.version = Some(version);
+        let ids = targets.keys().map(|it| (Target::short_id(it), it.clone()));
+        self.ids = ids.collect();
         self.targets = targets;
         self.last_read = Some(clock::now());
     }
@@ -93,9 +101,12 @@
         self.version = Some(delta.to_version);
         self.last_read = Some(clock::now());
         for target in delta.changed {
+            self.ids
+                .insert(Target::short_id(&target.id), target.id.clone());
             self.targets.insert(target.id.clone(), target);
         }
         for id in delta.removed {
+            self.ids.remove(&Target::short_id(&id));
             self.targets.remove(&id);
         }
         true
--- a/crates/fleet/tests/decisions.rs
+++ b/crates/fleet/tests/decisions.rs
@@ -1,6 +1,6 @@
 //! Tests of the modules that make decisions without I/O.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 use bluebellpath_fleet::{
     JobId, Resources, TaskId,
@@ -11,7 +11,7 @@
     identity::{Claim, Claimed, Identity, StoredIdentity},
     messages::Load,
     owner_selection::{self, Demand, Distance, Owner},
-    ownership::{self, Candidate},
+    ownership::{Assignment, Candidate},
     placement,
     read_schedule::Schedule,
     run_time::Estimator,
@@ -263,22 +263,21 @@
     );
 }
 
+fn candidate(name: &str, domain: &str, weight: u32) -> Candidate {
+    Candidate::new(name.into(), domain.into(), weight)
+}
+
 #[test]
 fn targets_are_owned_in_their_domain_in_proportion_to_weight() {
-    let candidate = |name, domain, weight| Candidate {
-        name,
-        domain,
-        weight,
-    };
-    let candidates = [
+    let assignment = Assignment::new([
         candidate("a", "north", 300),
         candidate("b", "north", 100),
         candidate("c", "south", 900),
-    ];
+    ]);
     let owners: Vec<_> = (0..4_000)
-        .filter_map(|it| ownership::choose(&format!("t{it}"), "north", candidates.iter().copied()))
+        .filter_map(|it| assignment.owner_of(&format!("t{it}"), "north"))
         .collect();
-    let target_count = |name| owners.iter().filter(|it| **it == name).count();
+    let target_count = |name: &str| owners.iter().filter(|it| &****it == name).count();
     assert_eq!(target_count("c"), 0);
     let expected = 2_800..3_200;
     assert!(
@@ -286,7 +285,7 @@
         "{}",
         target_count("a")
     );
-    let foreign_owner = ownership::choose("t", "west", candidates.iter().copied());
+    let foreign_owner = assignment.owner_of("t", "west");
     assert!(
         foreign_owner.is_some(),
         "targets of a domain without instances are owned by other domains"
@@ -295,15 +294,15 @@
 
 #[test]
 fn a_lost_instance_moves_only_its_own_targets() {
-    let candidates = ["a", "b", "c", "d"].map(|name| Candidate {
-        name,
-        domain: "d",
-        weight: 1,
-    });
+    let candidates = ["a", "b", "c", "d"].map(|name| candidate(name, "d", 1));
+    let before = Assignment::new(candidates.clone());
+    let after = Assignment::new(candidates[..3].iter().cloned());
     for target in (0..500).map(|it| format!("t{it}")) {
-        let before = ownership::choose(&target, "d", candidates.iter().copied());
-        let after = ownership::choose(&target, "d", candidates[..3].iter().copied());
-        assert!(before == Some("d") || before == after, "{target}");
+        let (before, after) = (before.owner_of(&target, "d"), after.owner_of(&target, "d"));
+        assert!(
+            before.is_some_and(|it| **it == *"d") || before == after,
+            "{target}"
+        );
     }
 }
 
@@ -382,11 +381,11 @@
 fn owners_are_chosen_by_free_cores_then_shortest_backlog() {
     let owner = |distance, free_cores: &[u16], queued_work: u64| Owner {
         distance,
-        load: Load {
+        load: Rc::new(Load {
             free_cores: free_cores.to_vec(),
             total_cores: 640,
             backlog: vec![(1, queued_work)],
-        },
+        }),
         reachable: true,
     };
     let demand = Demand {
@@ -433,7 +432,7 @@
     };
     let owner = |distance| Owner {
         distance,
-        load: load.clone(),
+        load: load.clone().into(),
         reachable: true,
     };
     let mut owners = [owner(Distance::Local), owner(Distance::SameDomain)];
--- a/crates/fleet/tests/sessions/main.rs
+++ b/crates/fleet/tests/sessions/main.rs
@@ -1,6 +1,7 @@
 //! Simulated deployments on the paused clock, each with a single fault.
 
 mod config;
+mod growth;
 mod injected_faults;
 mod random;
 mod spread;
--- a/crates/standin/src/mesh.rs
+++ b/crates/standin/src/mesh.rs
@@ -47,6 +47,7 @@
     stall: Notify,
     reset: Notify,
     calls: Cell<u64>,
+    heartbeats: Cell<u64>,
 }
 
 /// What one instance sees of the mesh.
@@ -123,6 +124,11 @@
         self.0.reset.notify();
     }
 
+    /// Heartbeats sent so far.
+    pub fn heartbeats(&self) -> u64 {
+        self.0.heartbeats.get()
+    }
+
     /// Calls made so far.
     pub fn calls(&self) -> u64 {
         self.0.calls.get()
@@ -156,7 +162,25 @@
 }
 
 impl Transport for Side {
-    fn send_heartbeat(&self, to: SocketAddr, heartbeat: &Heartbeat) {
+    fn send_heartbeat(&self, to: &[SocketAddr], heartbeat: &Heartbeat) {
+        for to in to {
+            self.send_one(*to, heartbeat);
+        }
+    }
+
+    fn call(
+        &self,
+        to: SocketAddr,
+        request: Request,
+    ) -> LocalFuture<'static, Result<Reply, CallError>> {
+        self.call_one(to, request)
+    }
+}
+
+impl Side {
+    fn send_one(&self, to: SocketAddr, heartbeat: &Heartbeat) {
+        let sent = &self.mesh.0.heartbeats;
+        sent.set(sent.get() + 1);
         if self.mesh.0.unheard.borrow().contains(&(self.own, to)) {
             return;
         }
@@ -169,7 +193,7 @@
         }));
     }
 
-    fn call(
+    fn call_one(
         &self,
         to: SocketAddr,
         request: Request,
