Run a range of session seeds to its end, on several threads

A range stopped at its first failing seed. It now goes on, prints the violations of each, and fails at the end if any did; SESSION_JOBS gives the threads.

--- a/crates/fleet/tests/sessions/random.rs
+++ b/crates/fleet/tests/sessions/random.rs
@@ -1,7 +1,8 @@
 //! Simulated deployments under random mixes of faults, reproducible by seed.
 //!
-//! `SESSION_SEED` runs a single seed, `SESSION_SEEDS=A-B` a range without `B`, and
-//! `SESSION_LOG` prints the log.
+//! `SESSION_SEED` runs a single seed and `SESSION_LOG` prints the log.
+//! `SESSION_SEEDS=A-B` runs a range without `B`, on `SESSION_JOBS` threads, to its
+//! end, and prints the violations of each seed.
 
 use std::time::Duration;
 
@@ -115,7 +116,8 @@
         let (from, to) = range.split_once('-').expect("SESSION_SEEDS is A-B");
         let ends = parse_number(Some(from)).zip(parse_number(Some(to)));
         let (from, to) = ends.expect("SESSION_SEEDS is A-B");
-        return (from..to).for_each(run_seed);
+        let jobs = parse_number(std::env::var("SESSION_JOBS").ok().as_deref());
+        return sweep(from..to, jobs.unwrap_or(1));
     }
     for regression in REGRESSION_SEEDS {
         println!("regression: {}", regression.cause);
@@ -130,6 +132,30 @@
     text.and_then(|it| it.parse().ok())
 }
 
+/// Runs all seeds of a range on `jobs` threads and fails if one of them failed.
+fn sweep(seeds: std::ops::Range<u64>, jobs: u64) {
+    let run_share = |job: u64| {
+        let mut failed = 0;
+        for seed in seeds.clone().filter(|it| it % jobs == job) {
+            let violations = run_session(seed, None);
+            if !violations.is_empty() {
+                println!("seed {seed}: {violations:#?}");
+                failed += 1;
+            }
+        }
+        failed
+    };
+    let failed: u64 = std::thread::scope(|scope| {
+        let shares: Vec<_> = (0..jobs)
+            .map(|job| scope.spawn(move || run_share(job)))
+            .collect();
+        let failed = shares.into_iter().map(|it| it.join().expect("no panic"));
+        failed.sum()
+    });
+    println!("{} seeds, {failed} failed", seeds.end - seeds.start);
+    assert_eq!(failed, 0, "seeds failed");
+}
+
 fn run_seed(seed: u64) {
     // Shows the seed if the session panics.
     println!("seed {seed}");
