Let a resumed instance hear its peers before it takes them for failed

Silence of a peer now counts only from the moment since which this process runs without a stall of 200 ms or more.

Test first: a_resumed_instance_does_not_take_its_peers_for_failed failed with "taken from instance 1: target-0".

--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -11,7 +11,7 @@
 */
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     rc::Rc,
@@ -36,6 +36,10 @@
 /// [`Config::failure_timeout`] is meant for this number.
 const MIN_REMOTE_PERIOD: u16 = 2;
 
+/// Time between two checks for silent peers after which this process must have been
+/// suspended or starved. Heartbeats that arrived meanwhile are not read yet.
+const STALL_THRESHOLD: Duration = Duration::from_millis(200);
+
 /// State that an instance announces to its peers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -192,6 +196,10 @@
     domain: Rc<str>,
     addresses: RefCell<BTreeMap<SocketAddr, Instant>>,
     peers: RefCell<BTreeMap<Rc<str>, Peer>>,
+    /// Time of the last check for silent peers.
+    checked_at: Cell<Instant>,
+    /// Time since which this process has run without a stall.
+    running_since: Cell<Instant>,
     peer_lost: Notify,
 }
 
@@ -204,6 +212,8 @@
             domain,
             addresses: RefCell::default(),
             peers: RefCell::default(),
+            checked_at: Cell::new(clock::now()),
+            running_since: Cell::new(clock::now()),
             peer_lost: Notify::new(),
         }
     }
@@ -314,12 +324,17 @@
     }
 
     /// Marks peers as failed that were silent for too long, and returns the
-    /// changes.
+    /// changes. Silence counts only while this process was able to hear them. Must
+    /// be called several times a second.
     pub fn expire_silent_peers(&self) -> Vec<Change> {
         let now = clock::now();
+        if now - self.checked_at.replace(now) > STALL_THRESHOLD {
+            self.running_since.set(now);
+        }
         let mut changes = Vec::new();
         for (name, peer) in self.peers.borrow_mut().iter_mut() {
-            if peer.alive && now - peer.received_at > self.failure_timeout(&peer.heartbeat) {
+            let silent_since = peer.received_at.max(self.running_since.get());
+            if peer.alive && now - silent_since > self.failure_timeout(&peer.heartbeat) {
                 peer.alive = false;
                 changes.push(Change::Lost(name.clone(), peer.heartbeat.address));
             }
--- a/crates/fleet/tests/sessions/main.rs
+++ b/crates/fleet/tests/sessions/main.rs
@@ -185,6 +185,30 @@
     });
 }
 
+/// An instance that was suspended for longer than the failure timeout has heard
+/// nobody when it resumes.
+#[test]
+fn a_resumed_instance_does_not_take_its_peers_for_failed() {
+    runtime::paused(async {
+        let system = System::start(SMALL).await;
+        let owned = |number: usize| system.instances[number].node.scheduler().target_ids();
+        let before = [owned(1), owned(2), owned(3)];
+        for _ in 0..5 {
+            system.suspend(0);
+            sleep_ms(2_000).await;
+            system.resume(0);
+            for _ in 0..200 {
+                sleep_ms(5).await;
+                for (number, before) in (1..).zip(&before) {
+                    let owned = owned(number);
+                    let lost = before.iter().find(|it| !owned.contains(it));
+                    assert_eq!(lost, None, "taken from instance {number}");
+                }
+            }
+        }
+    });
+}
+
 /// Fault of every target while a job starts.
 struct StartFault {
     name: &'static str,
