Let an instance restart without the store on an identity that peers remember

Peers remember the last identity of each instance, and a peer that hears a new process of it reports that identity in its answer. A process whose claim is not answered within 600 ms goes on with the same number, which belongs to its instance for good, and with a life that no peer reports. It stores this as soon as it can. Claims in the store leave out lives that peers report. Without the store and without peers there is no number, and no target is taken over, as before.

--- a/crates/bluebellpath/tests/settings.rs
+++ b/crates/bluebellpath/tests/settings.rs
@@ -189,6 +189,7 @@
         ("local.jsonc", 1, false),
         ("guild.jsonc", 4, true),
         ("calortec.jsonc", 4, true),
+        ("santiago.jsonc", 4, true),
     ] {
         let settings = Settings::load(&examples.join(file));
         let settings = settings.unwrap_or_else(|error| panic!("{file}: {error}"));
--- a/crates/fleet/src/identity.rs
+++ b/crates/fleet/src/identity.rs
@@ -8,14 +8,19 @@
 conditional writes, so that instances which start at the same moment get
 different numbers.
 
+A process that restarts while the platform takes no writes learns the number of its
+instance from its peers, which remember the identities that they have heard. It
+goes on with a life that none of them reports, and stores it once it can.
+
 Numbers and names are divided into shards. All rows that one claim touches are in
 the shard of the name, so a platform that serializes the writes of a shard still
 admits many claims at once.
 */
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use bluebellpath_runtime::LocalFuture;
+use serde::{Deserialize, Serialize};
 
 use crate::table_watch::ReadError;
 
@@ -29,7 +34,9 @@
 const SHARD_BITS: u32 = 4;
 
 /// Identity of a process, unique among all processes that may be alive.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct Identity {
     number: u16,
     life: u8,
@@ -91,6 +98,15 @@
     u16::from_le_bytes(prefix)
 }
 
+/// Next life after `identity` that is not in `reported`.
+fn unused_life(identity: Identity, reported: &BTreeSet<Identity>) -> Identity {
+    let mut next = identity.next_life();
+    while reported.contains(&next) && next != identity {
+        next = next.next_life();
+    }
+    next
+}
+
 /// Stored row of an instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StoredIdentity {
@@ -128,20 +144,34 @@
 pub struct Claim {
     attempt: u32,
     previous: Option<StoredIdentity>,
+    /// Identity that is in use before it is stored.
+    unstored: Option<Identity>,
 }
 
 impl Claim {
     /// Identity to claim next for the instance `name`, and its stored row as last
-    /// seen.
-    pub fn next(&self, name: &str) -> (Identity, Option<StoredIdentity>) {
-        let known = self.previous.and_then(|it| it.identity);
-        let identity = known.map_or_else(
-            || Identity::first_of(name, self.attempt),
-            Identity::next_life,
-        );
+    /// seen. `reported` are the identities of earlier processes that peers remember.
+    pub fn next(
+        &self,
+        name: &str,
+        reported: &BTreeSet<Identity>,
+    ) -> (Identity, Option<StoredIdentity>) {
+        let stored = self.previous.and_then(|it| it.identity);
+        let identity = match (self.unstored, stored) {
+            (Some(identity), _) => identity,
+            (None, Some(identity)) => unused_life(identity, reported),
+            (None, None) => Identity::first_of(name, self.attempt),
+        };
         (identity, self.previous)
     }
 
+    /// Identity to use while the store takes no claims. `None` if no peer remembers
+    /// an earlier process, whose number this one may use.
+    pub fn without_store(&mut self, reported: &BTreeSet<Identity>) -> Option<Identity> {
+        let identity = unused_life(*reported.first()?, reported);
+        Some(*self.unstored.get_or_insert(identity))
+    }
+
     /// Records the result of a claim. Returns true if the identity is stored.
     pub fn record(&mut self, result: Claimed) -> bool {
         match result {
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -24,6 +24,7 @@
 use crate::{
     JobId, TaskId,
     config::Observation,
+    identity::Identity,
     messages::{ClockReading, Load, RunOutcome, RunRequest},
     ownership::{Assignment, Candidate},
     target_list::Delta,
@@ -69,6 +70,11 @@
     /// Number of heartbeat intervals in which each peer of another domain gets one
     /// heartbeat.
     pub remote_period: u16,
+    /// Identity of the sender, once it has one.
+    pub identity: Option<Identity>,
+    /// Last identity of the recipient that the sender remembers, if the recipient is
+    /// new to it.
+    pub recipient_identity: Option<Identity>,
 }
 
 /// Request to another instance.
@@ -163,6 +169,8 @@
     /// When the last heartbeat arrived.
     pub received_at: Instant,
     candidate: Candidate,
+    /// Last identity of this instance.
+    identity: Option<Identity>,
     /// False once the peer counts as failed.
     alive: bool,
 }
@@ -309,7 +317,9 @@
                 Candidate::new(name, domain, heartbeat.weight)
             }
         };
+        let identity = heartbeat.identity.or(known.and_then(|it| it.identity));
         let peer = Peer {
+            identity,
             heartbeat: Rc::new(heartbeat),
             load,
             candidate,
@@ -386,6 +396,11 @@
         held.filter(|it| short_ids.contains(&it.0)).collect()
     }
 
+    /// Returns the last identity of the instance `name`.
+    pub fn identity_of(&self, name: &str) -> Option<Identity> {
+        self.peers.borrow().get(name)?.identity
+    }
+
     /// Returns the address of the live peer `name`.
     pub fn address_of(&self, name: &str) -> Option<SocketAddr> {
         let peers = self.peers.borrow();
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -10,7 +10,7 @@
 use std::{
     cell::{Cell, RefCell},
     cmp::Ordering,
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -92,6 +92,9 @@
     config: Config,
     incarnation: u64,
     candidate: Candidate,
+    identity: Cell<Option<Identity>>,
+    /// Identities of earlier processes of this instance that peers remember.
+    reported_identities: RefCell<BTreeSet<Identity>>,
     scheduler: Scheduler,
     frontend: Frontend,
     membership: Rc<Membership>,
@@ -156,6 +159,8 @@
             config,
             incarnation: clock::wall(),
             candidate,
+            identity: Cell::default(),
+            reported_identities: RefCell::default(),
             scheduler,
             frontend,
             membership,
@@ -331,11 +336,16 @@
     }
 
     /// Sets the identity of this process, without which it takes over no targets.
+    /// Only the first call has an effect.
     pub fn set_identity(&self, identity: Identity) {
+        if self.identity.get().is_some() {
+            return;
+        }
         let identity = match self.config.injected_fault {
             Some(InjectedFault::SharedIdentity) => Identity::default(),
             _ => identity,
         };
+        self.identity.set(Some(identity));
         self.scheduler.set_identity(identity);
         self.update_owned_targets();
     }
@@ -431,7 +441,10 @@
     /// Handles a heartbeat of a peer.
     pub fn receive_heartbeat(self: &Rc<Self>, heartbeat: Heartbeat) {
         let (own_version, newest) = (self.queue_config.borrow().version, heartbeat.newest_config);
-        let sender = heartbeat.address;
+        let (name, sender) = (heartbeat.name.clone(), heartbeat.address);
+        if let Some(identity) = heartbeat.recipient_identity {
+            self.reported_identities.borrow_mut().insert(identity);
+        }
         let changes = self.membership.record_heartbeat(heartbeat);
         match newest.config_version.cmp(&own_version) {
             Ordering::Greater => self.newer_config.notify(),
@@ -439,7 +452,11 @@
             Ordering::Less => {}
         }
         if changes.iter().any(|it| matches!(it, Change::Joined(_))) {
-            self.transport.send_heartbeat(&[sender], &self.heartbeat());
+            let answer = Heartbeat {
+                recipient_identity: self.membership.identity_of(&name),
+                ..self.heartbeat()
+            };
+            self.transport.send_heartbeat(&[sender], &answer);
         }
         self.handle_changes(changes);
     }
@@ -502,6 +519,12 @@
         }
     }
 
+    /// Returns the identities of earlier processes of this instance that peers have
+    /// reported.
+    pub fn reported_identities(&self) -> BTreeSet<Identity> {
+        self.reported_identities.borrow().clone()
+    }
+
     /// Whether a run request was sent to this process.
     fn is_recipient(&self, run_request: &RunRequest) -> bool {
         run_request.owner_incarnation == self.incarnation
@@ -622,6 +645,8 @@
             target_short_ids: self.scheduler.short_ids(),
             newest_config: self.config_observation(),
             remote_period: self.membership.remote_period(),
+            identity: self.identity.get(),
+            recipient_identity: None,
         }
     }
 
--- a/crates/fleet/src/table_watch.rs
+++ b/crates/fleet/src/table_watch.rs
@@ -53,6 +53,13 @@
 /// query.
 const INSTANCES_READ_PAUSE: Duration = Duration::from_millis(250);
 
+/// Time in which peers report the identities of earlier processes before the first
+/// claim of one.
+const REPORT_TIME: Duration = Duration::from_millis(50);
+
+/// Time after which an identity that peers report is used before it is stored.
+const CLAIM_PATIENCE: Duration = Duration::from_millis(600);
+
 /// First pause after a failed query.
 const MIN_BACKOFF: Duration = Duration::from_millis(150);
 
@@ -505,8 +512,11 @@
 async fn claim_identity(node: Rc<Node>, store: Rc<dyn IdentityStore>, log: Logger) {
     let mut claim = Claim::default();
     let mut timeout = ANSWER_TIMEOUT;
+    clock::sleep(REPORT_TIME).await;
+    let since = clock::now();
     loop {
-        let (identity, previous) = claim.next(node.name());
+        let reported = node.reported_identities();
+        let (identity, previous) = claim.next(node.name(), &reported);
         match store.claim(identity, previous, timeout).await {
             Ok(result) if claim.record(result) => {
                 info!(log, "identity claimed"; "number" => identity.number(),
@@ -518,6 +528,13 @@
                 "life" => identity.life(), "result" => ?result),
             Err(error) => {
                 warn!(log, "identity not claimed"; "error" => %error);
+                if clock::now() - since > CLAIM_PATIENCE
+                    && let Some(identity) = claim.without_store(&reported)
+                {
+                    info!(log, "identity used before it is stored"; "number" => identity.number(),
+                        "life" => identity.life(), "reported" => reported.len());
+                    node.set_identity(identity);
+                }
                 timeout = (timeout * 2).min(MAX_ANSWER_TIMEOUT);
                 clock::sleep(MIN_BACKOFF).await;
             }
--- a/crates/fleet/tests/sessions/main.rs
+++ b/crates/fleet/tests/sessions/main.rs
@@ -209,6 +209,29 @@
     });
 }
 
+/// The store takes no claims of identities while an instance restarts, so it can
+/// learn its number only from its peers.
+#[test]
+fn an_instance_that_restarts_without_the_store_owns_its_targets() {
+    runtime::paused(async {
+        let mut system = System::start(SMALL).await;
+        let before = system.identities.get("entry-0").expect("claimed");
+        system.identities.lose(true);
+        system.kill(0);
+        system.start_instance(0, 0);
+        sleep_ms(1_500).await;
+        let owned = system.instances[0].node.scheduler().target_ids();
+        assert!(!owned.is_empty(), "no targets without the store");
+        assert_eq!(system.identities.get("entry-0"), Some(before));
+        system.identities.lose(false);
+        sleep_ms(3_000).await;
+        let after = system.identities.get("entry-0").expect("stored");
+        assert_eq!(after.number(), before.number());
+        assert_ne!(after.life(), before.life());
+        system.assert_no_violations();
+    });
+}
+
 /// Fault of every target while a job starts.
 struct StartFault {
     name: &'static str,
