--- a/crates/fleet/src/frontend/mod.rs
+++ b/crates/fleet/src/frontend/mod.rs
@@ -440,7 +440,11 @@
                 }
             }
             let Some((number, outcome)) = tasks.next().await else {
-                return Answer::Completed;
+                // A step whose dependencies can't complete has not started.
+                return match started.iter().all(|it| *it) {
+                    true => Answer::Completed,
+                    false => Answer::Failed,
+                };
             };
             match outcome {
                 TaskOutcome::Done => remaining[number] -= 1,
--- a/crates/fleet/tests/sessions/main.rs
+++ b/crates/fleet/tests/sessions/main.rs
@@ -496,6 +496,18 @@
     });
 }
 
+#[test]
+fn a_job_with_a_step_that_can_never_start_is_not_completed() {
+    runtime::paused(async {
+        let system = System::start(SMALL).await;
+        let mut submission = JobSpec::default().submission();
+        submission.steps[0].dependencies = vec![7];
+        let answer = system.instances[0].node.frontend().submit(submission);
+        assert_eq!(answer.await, Answer::Failed);
+        assert_eq!(system.started_runs(1), 0);
+    });
+}
+
 #[test]
 fn a_run_whose_owner_changes_twice_is_not_abandoned() {
     // The second owner leaves after the search for the run has begun.
--- a/crates/fleet/tests/sessions/system.rs
+++ b/crates/fleet/tests/sessions/system.rs
@@ -293,7 +293,7 @@
 }
 
 impl JobSpec {
-    fn submission(self) -> Submission {
+    pub fn submission(self) -> Submission {
         let millicores = self.cores * 1_000;
         let fails = if self.fails { " fail" } else { "" };
         Submission {
