Replay the collapse of full links in a session

18 instances in six domains, links of 2 Mbit/s, steady load; the links of two instances are full for a second. From 8 s after that 95 of 100 jobs must be served. The mesh of the sessions can limit the bandwidth of links for it; heartbeats are lost on a link that is 200 ms behind. In specifications of the stand-in targets the word for a failing task is searched for, so that they can be padded.

--- a/crates/fleet/tests/sessions/growth.rs
+++ b/crates/fleet/tests/sessions/growth.rs
@@ -1,5 +1,7 @@
 //! Messages between the instances of large deployments.
 
+use std::time::Duration;
+
 use bluebellpath_fleet::frontend::Answer;
 use bluebellpath_runtime::runtime;
 
@@ -106,3 +108,57 @@
         assert_eq!(owned, 128);
     });
 }
+
+/// The links of two instances are full for a second under steady load. What follows
+/// must not keep the links full.
+#[test]
+fn service_returns_after_links_were_full() {
+    const LAYOUT: Layout = Layout {
+        domains: 6,
+        instances: 3,
+        targets: 20,
+    };
+    runtime::paused(async {
+        let system = System::start(LAYOUT).await;
+        // 2 Mbit/s.
+        system.mesh.limit_links(250_000);
+        let mut job = 0;
+        let mut served_after = (0, 0);
+        for step in 0..640 {
+            if step == 160 {
+                for number in [0, 4] {
+                    let address = system.instances[number].address;
+                    system.mesh.fill_link(address, Duration::from_secs(1));
+                }
+            }
+            for number in [step % 18, (step * 7 + 3) % 18] {
+                job += 1;
+                let spec = JobSpec {
+                    job,
+                    tasks: 4,
+                    cores: 30,
+                    run_ms: 200,
+                    deadline_ms: 1_500,
+                    padding: 1_200,
+                    ..JobSpec::default()
+                };
+                system.submit(number, spec);
+                // From 8 s after the links were full.
+                if step >= 480 {
+                    served_after.1 += 1;
+                }
+            }
+            sleep_ms(12).await;
+        }
+        sleep_ms(3_000).await;
+        let last = job - served_after.1;
+        let completed = |it: &u64| system.answer(*it) == Some(Answer::Completed);
+        served_after.0 = (last + 1..=job).filter(completed).count();
+        let (served, sent) = served_after;
+        assert!(
+            served * 100 >= usize::try_from(sent).expect("small") * 95,
+            "{served} of {sent} jobs were served"
+        );
+        system.assert_no_violations();
+    });
+}
--- a/crates/fleet/tests/sessions/random.rs
+++ b/crates/fleet/tests/sessions/random.rs
@@ -185,6 +185,7 @@
                     run_ms: [60, 200, 900][rng.index(3)],
                     deadline_ms: 1_500 + rng.below(6_000),
                     fails: rng.below(40) == 0,
+                    padding: 0,
                 };
                 system.submit(number, spec);
             }
--- a/crates/fleet/tests/sessions/system.rs
+++ b/crates/fleet/tests/sessions/system.rs
@@ -277,6 +277,8 @@
     pub run_ms: u64,
     pub deadline_ms: u64,
     pub fails: bool,
+    /// Bytes added to the specification.
+    pub padding: usize,
 }
 
 impl Default for JobSpec {
@@ -288,6 +290,7 @@
             run_ms: 200,
             deadline_ms: 8_000,
             fails: false,
+            padding: 0,
         }
     }
 }
@@ -298,7 +301,12 @@
         let fails = if self.fails { " fail" } else { "" };
         Submission {
             job: JobId(self.job),
-            spec: format!("{millicores} {}{fails}", self.run_ms).into(),
+            spec: format!(
+                "{millicores} {}{fails} {}",
+                self.run_ms,
+                "-".repeat(self.padding)
+            )
+            .into(),
             steps: vec![Step {
                 task_count: self.tasks,
                 resources: Resources {
--- a/crates/standin/src/mesh.rs
+++ b/crates/standin/src/mesh.rs
@@ -28,6 +28,12 @@
 /// Time between two tries of what a cut holds up.
 const RESEND: Duration = Duration::from_millis(200);
 
+/// Longest backlog of a link with limited bandwidth that takes datagrams.
+const DATAGRAM_QUEUE: Duration = Duration::from_millis(200);
+
+/// Bytes of a message on a link besides what it carries.
+const MESSAGE_BYTES: usize = 200;
+
 /// Longest time for which a connection over a cut lives.
 const HELD_UP: Duration = Duration::from_secs(20);
 
@@ -46,6 +52,10 @@
     stalled: RefCell<BTreeMap<(SocketAddr, SocketAddr), Option<Instant>>>,
     stall: Notify,
     reset: Notify,
+    /// Bytes that the link of each instance sends in a second; 0 for no limit.
+    bandwidth: Cell<u64>,
+    /// Times until which the links are busy.
+    busy_until: RefCell<BTreeMap<SocketAddr, Instant>>,
     calls: Cell<u64>,
     heartbeats: Cell<u64>,
 }
@@ -92,6 +102,38 @@
         self.0.unheard.borrow_mut().insert((from, to));
     }
 
+    /// Limits the link of each instance to so many bytes a second.
+    pub fn limit_links(&self, bytes_per_second: u64) {
+        self.0.bandwidth.set(bytes_per_second);
+    }
+
+    /// Keeps the link of an instance busy for `duration`.
+    pub fn fill_link(&self, address: SocketAddr, duration: Duration) {
+        let mut busy_until = self.0.busy_until.borrow_mut();
+        busy_until.insert(address, clock::now() + duration);
+    }
+
+    /// Occupies the link of the sender, and returns the time that the message waits.
+    fn occupy_link(&self, from: SocketAddr, bytes: usize) -> Duration {
+        let rate = self.0.bandwidth.get();
+        if rate == 0 {
+            return Duration::ZERO;
+        }
+        let now = clock::now();
+        let mut busy_until = self.0.busy_until.borrow_mut();
+        let busy_until = busy_until.entry(from).or_insert(now);
+        let nanos = bytes as u64 * 1_000_000_000 / rate;
+        *busy_until = (*busy_until).max(now) + Duration::from_nanos(nanos);
+        *busy_until - now
+    }
+
+    fn link_backlog(&self, from: SocketAddr) -> Duration {
+        let busy_until = self.0.busy_until.borrow();
+        busy_until
+            .get(&from)
+            .map_or(Duration::ZERO, |it| *it - clock::now())
+    }
+
     /// Lets all connections fall silent. Messages on them are lost, callers give
     /// them up after [`CALLER_TIMEOUT`] and servers after [`SERVER_TIMEOUT`].
     pub fn stall(&self) {
@@ -185,8 +227,13 @@
             return;
         }
         let (mesh, own, heartbeat) = (self.mesh.clone(), self.own, heartbeat.clone());
+        if mesh.link_backlog(own) > DATAGRAM_QUEUE {
+            return;
+        }
+        let targets = heartbeat.target_short_ids.len();
+        let wait = mesh.occupy_link(own, MESSAGE_BYTES + 8 * targets);
         drop(Scope::new().spawn(async move {
-            clock::sleep(WAY).await;
+            clock::sleep(WAY + wait).await;
             if let Some((node, scope)) = mesh.peer(own, to) {
                 drop(scope.spawn(async move { node.receive_heartbeat(heartbeat) }));
             }
@@ -200,8 +247,9 @@
     ) -> LocalFuture<'static, Result<Reply, CallError>> {
         let (mesh, own) = (self.mesh.clone(), self.own);
         mesh.0.calls.set(mesh.0.calls.get() + 1);
+        let wait = mesh.occupy_link(own, bytes_of(&request));
         Box::pin(async move {
-            clock::sleep(WAY).await;
+            clock::sleep(WAY + wait).await;
             if mesh.is_cut(own, to) {
                 mesh.hold_up(own, to, request);
                 clock::sleep(HELD_UP).await;
@@ -245,7 +293,7 @@
                     return Err(CallError::Unknown);
                 }
             };
-            clock::sleep(WAY).await;
+            clock::sleep(WAY + mesh.occupy_link(to, MESSAGE_BYTES)).await;
             let cut = mesh.is_cut(to, own);
             match reply {
                 Some(reply) if !cut => Ok(reply),
@@ -255,6 +303,19 @@
     }
 }
 
+/// Bytes of a request on a link.
+fn bytes_of(request: &Request) -> usize {
+    let content = match request {
+        Request::Run(it) => it.spec.len() + 4 * it.eligible_targets.len(),
+        Request::Claim {
+            run_request,
+            short_ids,
+        } => run_request.spec.len() + 8 * short_ids.len(),
+        _ => 0,
+    };
+    MESSAGE_BYTES + content
+}
+
 /// Ends a call at its receiver once the caller is gone.
 struct Hangup(Rc<Notify>);
 
--- a/crates/standin/src/yard.rs
+++ b/crates/standin/src/yard.rs
@@ -201,7 +201,7 @@
         let busy = Busy {
             cpu,
             until: clock::now() + lasts,
-            fails: words.next().is_some(),
+            fails: words.any(|it| it == "fail"),
         };
         self.watch(state, start, cpu);
         state.extend(start.lease_end_ms);
