--- a/crates/bluebellpath/src/http/client.rs
+++ b/crates/bluebellpath/src/http/client.rs
@@ -13,6 +13,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    io::ErrorKind,
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -189,7 +190,11 @@
         let slot = Slot::new(pool);
         let connect = TcpStream::connect_addr(peer);
         let connected = clock::timeout(self.0.config.connect, connect).await;
-        let stream = connected.ok_or(Fault::TimedOut)?.map_err(|_| Fault::Io)?;
+        let fault = |it: std::io::Error| match it.kind() {
+            ErrorKind::ConnectionRefused => Fault::Refused,
+            _ => Fault::Io,
+        };
+        let stream = connected.ok_or(Fault::TimedOut)?.map_err(fault)?;
         // Without this a small request waits for the other side's delayed ack.
         let _ = stream.set_nodelay(true);
         let (sender, calls) = mpsc::unbounded();
--- a/crates/bluebellpath/src/http/error.rs
+++ b/crates/bluebellpath/src/http/error.rs
@@ -25,6 +25,9 @@
     /// The other side closed the connection.
     #[display("connection closed")]
     Closed,
+    /// Nobody listens at the address.
+    #[display("connection refused")]
+    Refused,
     /// Time ran out.
     #[display("timed out")]
     TimedOut,
--- a/crates/bluebellpath/src/http/server.rs
+++ b/crates/bluebellpath/src/http/server.rs
@@ -326,7 +326,7 @@
         Fault::HeadTooLarge => Some(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE),
         Fault::BodyTooLarge => Some(StatusCode::PAYLOAD_TOO_LARGE),
         Fault::Malformed => Some(StatusCode::BAD_REQUEST),
-        Fault::Closed | Fault::Io | Fault::Connections | Fault::Lapsed => None,
+        Fault::Closed | Fault::Refused | Fault::Io | Fault::Connections | Fault::Lapsed => None,
     }
 }
 
--- a/crates/fleet/src/frontend/mod.rs
+++ b/crates/fleet/src/frontend/mod.rs
@@ -34,6 +34,7 @@
 use crate::{
     InjectedFault, JobId, Resources, Target, TaskId,
     admission::{self, Decision, Estimate},
+    crash_history::{CrashHistory, LossReport, Verdict},
     membership::{CallError, Membership, Peer, Reply, Request, Transport},
     messages::{ClockReading, NotStartedReason, RunOutcome, RunRequest},
     owner_selection::{self, Demand, Distance, Owner},
@@ -152,6 +153,7 @@
     config: Config,
     scheduler: Scheduler,
     membership: Rc<Membership>,
+    crash_history: Rc<CrashHistory>,
     target_list: Rc<RefCell<TargetList>>,
     transport: Rc<dyn Transport>,
     log: Logger,
@@ -181,6 +183,7 @@
         config: Config,
         scheduler: Scheduler,
         membership: Rc<Membership>,
+        crash_history: Rc<CrashHistory>,
         target_list: Rc<RefCell<TargetList>>,
         transport: Rc<dyn Transport>,
         log: Logger,
@@ -189,6 +192,7 @@
             config,
             scheduler,
             membership,
+            crash_history,
             target_list,
             transport,
             log,
@@ -221,7 +225,7 @@
     pub fn block(&self, job: JobId) -> bool {
         let shared = &self.0;
         let in_progress = shared.jobs.borrow().contains_key(&job);
-        if in_progress || shared.started_jobs.borrow().contains_key(&job) {
+        if in_progress || shared.may_have_run(job) {
             return false;
         }
         let until = clock::now() + BLOCK_DURATION;
@@ -326,7 +330,7 @@
     /// A caller whose connection broke retries, and the frontend that had the
     /// job first may still be working on it.
     async fn block_elsewhere(&self, job: JobId) -> bool {
-        if self.started_jobs.borrow().contains_key(&job) {
+        if self.may_have_run(job) {
             return false;
         }
         let alive = self.membership.live_peers();
@@ -344,13 +348,18 @@
     }
 
     async fn process(self: &Rc<Self>, submission: &Submission, received_at: Instant) -> Answer {
+        let ignores_crashes = self.config.injected_fault == Some(InjectedFault::IgnoreCrashes);
+        if !ignores_crashes && self.crash_history.is_harmful(submission.job) {
+            info!(self.log, "job has crashed targets before"; "job" => %submission.job);
+            return Answer::Failed;
+        }
         if let Decision::Refuse(retry) = self.admit(submission) {
             return Answer::Refused(retry);
         }
         let active_job = ActiveJob {
             submission,
             received_at,
-            started: Cell::new(false),
+            started: Cell::new(self.crash_history.has_run(submission.job)),
             stopping: Cell::new(false),
             unanswered_runs: RefCell::default(),
         };
@@ -483,7 +492,15 @@
     ) -> TaskOutcome {
         let mut failures = 0;
         for run in 1..=MAX_RUNS_PER_TASK {
-            let run_request = self.build_run_request(active_job, step, task, run);
+            let verdict = match self.await_verdict(active_job, step, task).await {
+                Some(Verdict::Harmful) => {
+                    info!(self.log, "task has crashed too many targets"; "task" => %task, "run" => run);
+                    return TaskOutcome::Failed;
+                }
+                Some(verdict) => verdict,
+                None => return TaskOutcome::Refused(NotStartedReason::TargetFateUnknown),
+            };
+            let run_request = self.build_run_request(active_job, step, task, run, verdict);
             let run_outcome = match self.send_run(active_job, &run_request).await {
                 RunStatus::Ended(run_outcome) => run_outcome,
                 RunStatus::MaybeOn { owner, short_ids } => {
@@ -503,13 +520,19 @@
                         return TaskOutcome::Failed;
                     }
                 }
+                RunOutcome::TargetLost(loss) => self.crash_history.record(&LossReport {
+                    loss,
+                    tasks: vec![task],
+                }),
                 RunOutcome::Lost | RunOutcome::Moved { .. } | RunOutcome::Superseded => {}
                 RunOutcome::NotStarted(NotStartedReason::RunNumberUsed) => {}
                 RunOutcome::NotStarted(NotStartedReason::RejectedByTarget) => {
                     return TaskOutcome::Failed;
                 }
                 RunOutcome::NotStarted(
-                    reason @ (NotStartedReason::StartTimeout | NotStartedReason::NoSuitableTarget),
+                    reason @ (NotStartedReason::StartTimeout
+                    | NotStartedReason::TargetFateUnknown
+                    | NotStartedReason::NoSuitableTarget),
                 ) => {
                     return TaskOutcome::Refused(reason);
                 }
@@ -526,20 +549,45 @@
         TaskOutcome::GivenUp
     }
 
+    /// Waits until it is known how `task` may run. Returns `None` if there is no time
+    /// left to run it.
+    async fn await_verdict(
+        &self,
+        active_job: &ActiveJob<'_>,
+        step: &Step,
+        task: TaskId,
+    ) -> Option<Verdict> {
+        let verdict = match self.config.injected_fault {
+            Some(InjectedFault::IgnoreCrashes) => Verdict::Unsuspected,
+            _ => self.crash_history.verdict(task),
+        };
+        if verdict != Verdict::Undecided {
+            return Some(verdict);
+        }
+        let patience = active_job.time_left().saturating_sub(step.estimate / 2);
+        info!(self.log, "task waits for the fate of lost targets"; "task" => %task,
+            "limit_ms" => millis(patience));
+        clock::timeout(patience, self.crash_history.decided(task)).await
+    }
+
     fn build_run_request(
         &self,
         active_job: &ActiveJob<'_>,
         step: &Step,
         task: TaskId,
         run: u32,
+        verdict: Verdict,
     ) -> RunRequest {
         let useful_time = (active_job.received_at
             + active_job.submission.latency_goal * USEFUL_GOAL_FACTOR)
             - clock::now();
-        let patience = active_job
-            .time_left()
-            .min(useful_time)
-            .saturating_sub(step.estimate);
+        // The caller of a suspect submits the whole job again unless it gets an answer,
+        // however late.
+        let patience = match verdict {
+            Verdict::Suspect => active_job.time_left(),
+            _ => active_job.time_left().min(useful_time),
+        };
+        let patience = patience.saturating_sub(step.estimate);
         RunRequest {
             task,
             run,
@@ -549,6 +597,7 @@
             constraint: step.required_label.clone(),
             affinity: step.preferred_rack.clone(),
             max_per_target: step.max_per_target,
+            exclusive: verdict == Verdict::Suspect,
             estimate_ms: millis_u32(step.estimate),
             priority: active_job.submission.priority,
             goal_remaining_ms: millis_u32(active_job.goal_left()),
@@ -560,6 +609,11 @@
         }
     }
 
+    /// Whether a task of the job may have run, here or elsewhere.
+    fn may_have_run(&self, job: JobId) -> bool {
+        self.started_jobs.borrow().contains_key(&job) || self.crash_history.has_run(job)
+    }
+
     /// Remembers that a task of the job may have run.
     fn mark_started(&self, job: JobId) {
         let until = clock::now() + STARTED_RETENTION;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 * [`node`]: one instance, assembled from these.
 * [`table_watch`]: watches on the platform's tables.
 * [`target_list`], [`config`]: the listed targets, and the queues in force.
+* [`crash_history`]: the tasks that were running on targets which were lost.
 * [`membership`]: the other instances, their load and whether they are alive.
 * [`owner_selection`], [`backlog`], [`placement`], [`admission`], [`run_time`],
   [`circuit_breaker`], [`read_schedule`]: decisions without I/O.
@@ -28,6 +29,7 @@
 pub mod admission;
 pub mod target_list;
 pub mod config;
+pub mod crash_history;
 pub mod fencing;
 pub mod identity;
 pub mod table_watch;
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -24,6 +24,7 @@
 use crate::{
     JobId, TaskId,
     config::Observation,
+    crash_history::LossReport,
     identity::Identity,
     messages::{ClockReading, Load, RunOutcome, RunRequest},
     ownership::{Assignment, Candidate},
@@ -103,6 +104,8 @@
     Block(JobId),
     /// Apply changes of the list of targets.
     Targets(Delta),
+    /// Remember under which tasks targets were lost.
+    Losses(Vec<LossReport>),
     /// Send the configuration document if it is newer than this version.
     Config {
         /// Newest version that the sender knows.
@@ -427,6 +430,13 @@
             .collect()
     }
 
+    /// Returns the domain of the peer at `address`, which may have failed.
+    pub fn domain_of(&self, address: SocketAddr) -> Option<Rc<str>> {
+        let peers = self.peers.borrow();
+        let peer = peers.values().find(|it| it.heartbeat.address == address);
+        peer.map(|it| it.heartbeat.domain.clone())
+    }
+
     /// Returns the number of live peers whose name sorts before `name`.
     pub fn rank_of(&self, name: &str) -> usize {
         let peers = self.peers.borrow();
--- a/crates/fleet/src/messages.rs
+++ b/crates/fleet/src/messages.rs
@@ -6,7 +6,7 @@
 use bluebellpath_runtime::clock;
 use serde::{Deserialize, Serialize};
 
-use crate::{Resources, TaskId};
+use crate::{Resources, TaskId, crash_history::Loss};
 
 /// Reading of the clocks of an instance.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -64,6 +64,8 @@
     pub affinity: Option<Rc<str>>,
     /// Maximum number of tasks of the same step on one target; 0 for no limit.
     pub max_per_target: u16,
+    /// Whether the task needs a target of its own, because it may crash it.
+    pub exclusive: bool,
     /// Declared run time in milliseconds.
     pub estimate_ms: u32,
     /// Priority; 0 is the highest.
@@ -93,6 +95,8 @@
     Failed,
     /// The run is certainly over and did not succeed.
     Lost,
+    /// The run is certainly over because its target was lost.
+    TargetLost(Loss),
     /// The run certainly never started.
     NotStarted(NotStartedReason),
     /// Another claim replaced this request; the run continues.
@@ -113,6 +117,9 @@
     /// The run number was used before.
     #[display("run number already used")]
     RunNumberUsed,
+    /// It did not become known in time whether the task had crashed targets.
+    #[display("fate of lost targets unknown")]
+    TargetFateUnknown,
     /// No target of this owner may run the task.
     #[display("no suitable target")]
     NoSuitableTarget,
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -23,6 +23,7 @@
 use crate::{
     InjectedFault, Target,
     config::{Config as QueueConfig, Observation},
+    crash_history::{CrashHistory, LossReport},
     frontend::{self, Frontend},
     identity::Identity,
     membership::{self, Change, Heartbeat, Membership, Peer, Reply, Request, Transport},
@@ -98,6 +99,7 @@
     scheduler: Scheduler,
     frontend: Frontend,
     membership: Rc<Membership>,
+    crash_history: Rc<CrashHistory>,
     transport: Rc<dyn Transport>,
     decode: Decode,
     log: Logger,
@@ -141,6 +143,7 @@
         let (name, domain) = (config.name.clone(), config.domain.clone());
         let candidate = Candidate::new(name, domain, config.weight);
         let target_list = Rc::default();
+        let crash_history: Rc<CrashHistory> = Rc::default();
         let frontend = Frontend::new(
             frontend::Config {
                 name: config.name.clone(),
@@ -151,6 +154,7 @@
             },
             scheduler.clone(),
             membership.clone(),
+            crash_history.clone(),
             Rc::clone(&target_list),
             transport.clone(),
             log.clone(),
@@ -164,6 +168,7 @@
             scheduler,
             frontend,
             membership,
+            crash_history,
             transport,
             decode,
             log,
@@ -331,6 +336,8 @@
                 }
                 node.scheduler.tick();
                 node.frontend.tick();
+                node.crash_history.tick();
+                node.send_loss_reports();
             }
         }));
     }
@@ -461,6 +468,37 @@
         self.handle_changes(changes);
     }
 
+    /// Reports the targets that were lost here to the instances that may get the
+    /// jobs of their tasks: those in the domains of the frontends.
+    fn send_loss_reports(&self) {
+        let mut by_domain: BTreeMap<Rc<str>, Vec<LossReport>> = BTreeMap::new();
+        for (report, fronts) in self.scheduler.take_loss_reports() {
+            self.crash_history.record(&report);
+            let domain_of = |it: &SocketAddr| match *it == self.config.address {
+                true => Some(self.config.domain.clone()),
+                false => self.membership.domain_of(*it),
+            };
+            let domains: BTreeSet<_> = fronts.iter().filter_map(domain_of).collect();
+            for domain in domains {
+                by_domain.entry(domain).or_default().push(report.clone());
+            }
+        }
+        for (domain, reports) in by_domain {
+            for (_, address) in self.membership.domain_peers(&domain) {
+                self.send_losses(address, reports.clone());
+            }
+        }
+    }
+
+    fn send_losses(&self, to: SocketAddr, reports: Vec<LossReport>) {
+        if reports.is_empty() {
+            return;
+        }
+        let call = self.transport.call(to, Request::Losses(reports));
+        // A peer that misses the report may run a task once more.
+        drop(spawn(async move { drop(call.await) }));
+    }
+
     /// Handles a request of a peer.
     pub fn handle_request(&self, request: Request) -> LocalFuture<'static, Reply> {
         let scheduler = self.scheduler.clone();
@@ -506,6 +544,10 @@
                 };
                 Box::pin(async move { reply })
             }
+            Request::Losses(reports) => {
+                reports.iter().for_each(|it| self.crash_history.record(it));
+                Box::pin(async { Reply::Accepted })
+            }
             Request::Targets(delta) => {
                 self.apply_target_delta(delta);
                 Box::pin(async { Reply::Accepted })
@@ -580,7 +622,16 @@
         }
         for change in changes {
             match change {
-                Change::Joined(name) => info!(self.log, "peer joined"; "peer" => %name),
+                Change::Joined(name) => {
+                    info!(self.log, "peer joined"; "peer" => %name);
+                    let address = self.membership.address_of(&name);
+                    let is_local = |it: &SocketAddr| {
+                        self.membership.domain_of(*it).as_ref() == Some(&self.config.domain)
+                    };
+                    if let Some(address) = address.filter(is_local) {
+                        self.send_losses(address, self.crash_history.reports());
+                    }
+                }
                 Change::LeavingChanged(name) => {
                     info!(self.log, "peer is leaving or has come back"; "peer" => %name)
                 }
@@ -620,6 +671,7 @@
         });
         let owned: Vec<Target> = owned.cloned().collect();
         let before = self.scheduler.short_ids();
+        self.crash_history.compare_with_list(targets.values());
         self.scheduler.assign_targets(&owned);
         // Frontends send work only to targets that a heartbeat has announced.
         if self.scheduler.short_ids() != before {
--- a/crates/fleet/src/scheduler/held_target.rs
+++ b/crates/fleet/src/scheduler/held_target.rs
@@ -9,7 +9,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     net::SocketAddr,
     time::Duration,
 };
@@ -20,6 +20,7 @@
 use crate::{
     Resources, Target, TaskId,
     circuit_breaker::CircuitBreaker,
+    crash_history::{Fate, Loss, LossReport},
     messages::{RunOutcome, RunRequest},
     run_time::Estimator,
     target_client::{ExitStatus, Status},
@@ -80,6 +81,10 @@
     Ended(RunKey, Run, ExitStatus),
     /// The run is over with an unknown result.
     Lost(RunKey, Run),
+    /// The run is over because the target was lost.
+    TargetLost(RunKey, Run, Loss),
+    /// It is known what became of the target while tasks were running on it.
+    FateKnown(LossReport, BTreeSet<SocketAddr>),
     /// The start had no effect and can no longer have one.
     NotStarted(RunKey, Run),
 }
@@ -114,8 +119,13 @@
     pub(super) acknowledged_end: u64,
     latest_status_ms: u64,
     incarnation_ms: Option<u64>,
+    /// Last incarnation that was listed as shutting down.
+    pub(super) draining_incarnation_ms: Option<u64>,
     pub(super) runs: BTreeMap<RunKey, Run>,
     unclaimed_ends: VecDeque<(RunKey, ExitStatus)>,
+    /// Tasks that were running when the target stopped answering, with their
+    /// frontends, until it is known what became of it.
+    suspects: BTreeMap<TaskId, SocketAddr>,
     pub(super) estimator: Estimator,
     pub(super) circuit_breaker: CircuitBreaker,
     pub(super) last_heard: Instant,
@@ -136,8 +146,10 @@
                 acknowledged_end: 0,
                 latest_status_ms: 0,
                 incarnation_ms: None,
+                draining_incarnation_ms: None,
                 runs: BTreeMap::new(),
                 unclaimed_ends: VecDeque::new(),
+                suspects: BTreeMap::new(),
                 estimator: Estimator::default(),
                 circuit_breaker: CircuitBreaker::default(),
                 last_heard: now,
@@ -173,15 +185,17 @@
         self.answered_polls.get() >= number && !self.released.get() && self.state.borrow().synced
     }
 
-    /// Free resources for new tasks; none while runs with unknown needs are
-    /// present.
+    /// Free resources for new tasks; none while a run is present that needs the
+    /// target for itself or whose needs are unknown.
     pub(super) fn free_resources(&self) -> Resources {
         let state = self.state.borrow();
         let mut free = self.target.borrow().capacity;
         for run in state.runs.values() {
             match &run.request {
-                Some(request) => free = free.saturating_sub(request.resources),
-                None => return Resources::default(),
+                Some(request) if !request.exclusive => {
+                    free = free.saturating_sub(request.resources);
+                }
+                _ => return Resources::default(),
             }
         }
         free
@@ -193,6 +207,20 @@
         state.synced && !self.released.get() && !self.target.borrow().draining
     }
 
+    /// Identifies the last known incarnation of the target, should it be lost. `None`
+    /// if it has announced its end.
+    pub(super) fn loss(&self, fate: Fate) -> Option<Loss> {
+        let state = self.state.borrow();
+        let target = self.target.borrow();
+        let incarnation_ms = state.incarnation_ms.unwrap_or(target.incarnation_ms);
+        (state.draining_incarnation_ms != Some(incarnation_ms)).then_some(Loss {
+            target: self.short_id,
+            incarnation_ms,
+            address: target.address,
+            fate,
+        })
+    }
+
     /// Whether the circuit breaker prevents a start: it is open, or it is half-open
     /// and a run is present.
     pub(super) fn is_blocked(&self, now: Instant) -> bool {
@@ -239,12 +267,14 @@
         self.target_clock = None;
     }
 
-    /// Applies a status that was requested with `fencing_token`.
+    /// Applies a status that was requested with `fencing_token`. `loss` identifies
+    /// the last known incarnation of the target, or is `None` if its end is planned.
     pub(super) fn apply_status(
         &mut self,
         status: &Status,
         fencing_token: u64,
         claim_timeout: Duration,
+        loss: Option<Loss>,
     ) -> Vec<RunEvent> {
         let restarted = matches!(
             (self.incarnation_ms, status.incarnation_ms),
@@ -252,11 +282,12 @@
         );
         let mut events = Vec::new();
         if restarted {
-            events.extend(self.remove_all_runs());
+            events.extend(self.replaced(loss));
             self.reset_incarnation();
         } else if status.clock_ms < self.latest_status_ms || fencing_token < self.fencing_token {
             return events;
         }
+        events.extend(self.fate_known(loss, Fate::Alive));
         self.incarnation_ms = status.incarnation_ms.or(self.incarnation_ms);
         self.latest_status_ms = status.clock_ms;
         self.sync_clock(status.clock_ms);
@@ -327,12 +358,61 @@
         events
     }
 
-    /// Removes all runs, none of which can be present any more.
-    pub(super) fn remove_all_runs(&mut self) -> Vec<RunEvent> {
+    /// Removes all runs, none of which can be present any more, as the lease has
+    /// expired on the target that `loss` identifies.
+    pub(super) fn give_up_runs(&mut self, loss: Option<Loss>) -> Vec<RunEvent> {
         let runs = std::mem::take(&mut self.runs);
-        runs.into_iter()
-            .map(|(key, run)| RunEvent::Lost(key, run))
-            .collect()
+        let Some(loss) = loss else {
+            let lost = |(key, run)| RunEvent::Lost(key, run);
+            return runs.into_iter().map(lost).collect();
+        };
+        let fronts = runs
+            .iter()
+            .filter_map(|(key, run)| Some((key.0, run.front_address?)));
+        self.suspects.extend(fronts);
+        let lost = |(key, run)| RunEvent::TargetLost(key, run, loss);
+        let mut events: Vec<_> = runs.into_iter().map(lost).collect();
+        events.extend(self.report(loss));
+        events
+    }
+
+    /// Removes all runs after another incarnation has taken the place of the target.
+    pub(super) fn replaced(&mut self, loss: Option<Loss>) -> Vec<RunEvent> {
+        let crashed = |it| Loss {
+            fate: Fate::Crashed,
+            ..it
+        };
+        let events = match (loss.map(crashed), self.runs.is_empty()) {
+            (Some(loss), true) => self.report(loss).into_iter().collect(),
+            (loss, _) => self.give_up_runs(loss),
+        };
+        self.suspects.clear();
+        events
+    }
+
+    /// Reports the tasks that are running on the target, which refuses connections,
+    /// once. The report outlives this owner, the runs may not.
+    pub(super) fn suspect_runs(&mut self, loss: Option<Loss>) -> Option<RunEvent> {
+        let before = self.suspects.len();
+        let fronts = self
+            .runs
+            .iter()
+            .filter_map(|(key, run)| Some((key.0, run.front_address?)));
+        self.suspects.extend(fronts);
+        (self.suspects.len() > before).then(|| self.report(loss?))?
+    }
+
+    /// Reports what became of the target.
+    fn fate_known(&mut self, loss: Option<Loss>, fate: Fate) -> Option<RunEvent> {
+        let event = self.report(Loss { fate, ..loss? });
+        self.suspects.clear();
+        event
+    }
+
+    fn report(&self, loss: Loss) -> Option<RunEvent> {
+        let tasks: Vec<_> = self.suspects.keys().copied().collect();
+        let fronts = self.suspects.values().copied().collect();
+        (!tasks.is_empty()).then(|| RunEvent::FateKnown(LossReport { loss, tasks }, fronts))
     }
 
     /// Forgets the state of an ended incarnation of the target.
--- a/crates/fleet/src/scheduler/mod.rs
+++ b/crates/fleet/src/scheduler/mod.rs
@@ -18,7 +18,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -34,6 +34,7 @@
     InjectedFault, Target,
     backlog::{Backlog, Position},
     circuit_breaker,
+    crash_history::LossReport,
     fencing::TokenSource,
     identity::Identity,
     messages::{Load, NotStartedReason, RunOutcome, RunRequest},
@@ -107,6 +108,8 @@
     /// Runs that must not start here, each until requests for it can no longer be
     /// in transit.
     denied_runs: RefCell<BTreeMap<RunKey, Instant>>,
+    /// Reports on lost targets that were not sent yet, with the frontends of the tasks.
+    loss_reports: RefCell<Vec<(LossReport, BTreeSet<SocketAddr>)>>,
 }
 
 struct QueuedRun {
@@ -133,6 +136,7 @@
             backoff_checked_at: Cell::new(clock::now()),
             leaving: Cell::new(false),
             denied_runs: RefCell::default(),
+            loss_reports: RefCell::default(),
         }))
     }
 
@@ -347,6 +351,12 @@
         load
     }
 
+    /// Removes and returns the reports on lost targets, each with the frontends of
+    /// the tasks.
+    pub fn take_loss_reports(&self) -> Vec<(LossReport, BTreeSet<SocketAddr>)> {
+        self.0.loss_reports.take()
+    }
+
     /// Numbers of running and waiting tasks.
     pub fn task_counts(&self) -> (usize, usize) {
         let held = self.0.held_targets.borrow();
@@ -446,6 +456,9 @@
         let draining = current.draining && current.incarnation_ms == target.incarnation_ms;
         *current = target.clone();
         current.draining |= draining;
+        if current.draining {
+            held.state.borrow_mut().draining_incarnation_ms = Some(current.incarnation_ms);
+        }
     }
 
     fn may_take_over(&self, id: &str, now: Instant) -> bool {
@@ -789,11 +802,25 @@
                 }
                 held_target::RunEvent::Lost(key, run) => {
                     info!(self.log, "run is gone"; "task" => %key.0, "run" => key.1,
-                        "target" => %held.target.borrow().id);
+                        "target" => %held.target.borrow().id, "target_is" => "held or draining");
                     if let Some(reply) = run.reply {
                         let _ = reply.send(RunOutcome::Lost);
                     }
                 }
+                held_target::RunEvent::TargetLost(key, run, loss) => {
+                    info!(self.log, "run is gone"; "task" => %key.0, "run" => key.1,
+                        "target" => %held.target.borrow().id, "target_is" => %loss.fate,
+                        "exclusive" => run.request.as_ref().is_some_and(|it| it.exclusive));
+                    if let Some(reply) = run.reply {
+                        let _ = reply.send(RunOutcome::TargetLost(loss));
+                    }
+                }
+                held_target::RunEvent::FateKnown(report, fronts) => {
+                    info!(self.log, "target was lost"; "target" => %held.target.borrow().id,
+                        "target_is" => %report.loss.fate, "tasks" => report.tasks.len(),
+                        "incarnation_ms" => report.loss.incarnation_ms);
+                    self.loss_reports.borrow_mut().push((report, fronts));
+                }
                 held_target::RunEvent::NotStarted(key, run) => self.requeue(key, run),
             }
         }
@@ -840,6 +867,9 @@
     if !request.eligible_targets.is_empty() && !request.eligible_targets.contains(&held.short_id) {
         return false;
     }
+    if request.exclusive && !held.state.borrow().runs.is_empty() {
+        return false;
+    }
     if request.max_per_target == 0 {
         return true;
     }
--- a/crates/fleet/src/scheduler/poll_loop.rs
+++ b/crates/fleet/src/scheduler/poll_loop.rs
@@ -18,7 +18,9 @@
     held_target::{HeldTarget, Phase, millis},
 };
 use crate::{
-    InjectedFault, fencing,
+    InjectedFault,
+    crash_history::Fate,
+    fencing,
     target_client::{PollRequest, RequestError},
 };
 
@@ -59,10 +61,15 @@
                     info!(shared.log, "target answers again"; "target" => %target.id);
                 }
                 token_steps = 0;
+                let loss = held.loss(Fate::Silent);
                 let mut state = held.state.borrow_mut();
                 let was_unsynced = !state.synced;
-                let events =
-                    state.apply_status(&status, poll.fencing_token, shared.config.claim_timeout);
+                let events = state.apply_status(
+                    &status,
+                    poll.fencing_token,
+                    shared.config.claim_timeout,
+                    loss,
+                );
                 if was_unsynced && state.synced {
                     info!(shared.log, "target is held"; "target" => %target.id,
                         "fence" => poll.fencing_token, "runs_found" => state.runs.len());
@@ -96,7 +103,7 @@
                     warn!(shared.log, "target does not answer"; "target" => %target.id,
                         "fault" => %error);
                 }
-                handle_no_answer(&shared, &held);
+                handle_no_answer(&shared, &held, error);
                 clock::sleep(RETRY_DELAY).await;
             }
         }
@@ -142,22 +149,43 @@
     })
 }
 
-/// Handles a failed poll. Removes all runs once the lease has expired.
-fn handle_no_answer(shared: &Rc<Shared>, held: &Rc<HeldTarget>) {
+/// Handles a failed poll. Removes all runs once the lease has expired, or if another
+/// incarnation has answered.
+fn handle_no_answer(shared: &Rc<Shared>, held: &Rc<HeldTarget>, error: RequestError) {
+    let replaced = error == RequestError::Restarted;
+    let fate = match error {
+        RequestError::Refused => Fate::Refusing,
+        _ => Fate::Silent,
+    };
+    let loss = held.loss(fate);
     let mut state = held.state.borrow_mut();
     state.synced = false;
-    if state.runs.is_empty() || clock::now() < state.lease_end {
-        return;
-    }
     // The answer to a pending start decides about its run.
     let starting = state.runs.values().any(|it| it.phase == Phase::Starting);
     if starting {
         return;
     }
+    if replaced {
+        let events = state.replaced(loss);
+        drop(state);
+        shared.apply_events(held, events);
+        return;
+    }
+    if state.runs.is_empty() || clock::now() < state.lease_end {
+        let suspicion = match fate {
+            Fate::Refusing => state.suspect_runs(loss),
+            _ => None,
+        };
+        drop(state);
+        if let Some(suspicion) = suspicion {
+            shared.apply_events(held, vec![suspicion]);
+        }
+        return;
+    }
     // Delayed requests must no longer take effect. If the token is exhausted, the
     // expired lease prevents that under the old token.
     state.fencing_token = fencing::increment(state.fencing_token).unwrap_or(state.fencing_token);
-    let events = state.remove_all_runs();
+    let events = state.give_up_runs(loss);
     drop(state);
     shared.apply_events(held, events);
 }
--- a/crates/fleet/src/scheduler/run_control.rs
+++ b/crates/fleet/src/scheduler/run_control.rs
@@ -153,9 +153,10 @@
     let mut state = held.state.borrow_mut();
     match error {
         RequestError::LeaseExpired => state.clear_clock(),
-        RequestError::Unhealthy | RequestError::NotSent | RequestError::NoCapacity => {
-            state.circuit_breaker.record_failure(clock::now())
-        }
+        RequestError::Unhealthy
+        | RequestError::Refused
+        | RequestError::NotSent
+        | RequestError::NoCapacity => state.circuit_breaker.record_failure(clock::now()),
         _ => {}
     }
     let fenced_off = error == RequestError::Fenced && fencing_token == state.fencing_token;
--- a/crates/fleet/src/target_client.rs
+++ b/crates/fleet/src/target_client.rs
@@ -116,6 +116,9 @@
     /// The target rejected the request as malformed.
     #[display("rejected as invalid")]
     Invalid,
+    /// Nobody listens at the address of the target, so the request did not reach it.
+    #[display("connection refused")]
+    Refused,
     /// The request did not reach the target.
     #[display("not sent")]
     NotSent,
--- a/crates/fleet/tests/decisions.rs
+++ b/crates/fleet/tests/decisions.rs
@@ -2,15 +2,17 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::{Ipv4Addr, SocketAddr},
     rc::Rc,
     time::Duration,
 };
 
 use bluebellpath_fleet::{
-    JobId, Resources, TaskId,
+    JobId, Resources, Target, TaskId,
     admission::{self, Decision, Estimate},
     backlog::Backlog,
     circuit_breaker::CircuitBreaker,
+    crash_history::{CrashHistory, Fate, Loss, LossReport, Verdict},
     fencing::{self, TokenSource},
     identity::{Claim, Claimed, Identity, StoredIdentity},
     messages::Load,
@@ -20,7 +22,7 @@
     read_schedule::Schedule,
     run_time::Estimator,
 };
-use bluebellpath_runtime::Instant;
+use bluebellpath_runtime::{Instant, clock, runtime};
 use quickcheck::quickcheck;
 
 fn ms(ms: u64) -> Duration {
@@ -553,3 +555,209 @@
     let estimate = estimator.estimate(ms(200));
     assert!(ms(340) < estimate && estimate < ms(400), "{estimate:?}");
 }
+
+fn task(job: u64, index: u16) -> TaskId {
+    TaskId {
+        job: JobId(job),
+        occurrence: 0,
+        step: 0,
+        index,
+    }
+}
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::new(Ipv4Addr::LOCALHOST.into(), port)
+}
+
+fn loss_report(target: u32, fate: Fate, task: TaskId) -> LossReport {
+    LossReport {
+        loss: Loss {
+            target,
+            incarnation_ms: 10,
+            address: address(u16::try_from(target).expect("small")),
+            fate,
+        },
+        tasks: vec![task],
+    }
+}
+
+#[test]
+fn a_task_is_judged_by_what_became_of_its_targets() {
+    struct Case {
+        name: &'static str,
+        losses: &'static [(u32, Fate)],
+        verdict: Verdict,
+    }
+    const CASES: [Case; 11] = [
+        Case {
+            name: "nothing known",
+            losses: &[],
+            verdict: Verdict::Unsuspected,
+        },
+        Case {
+            name: "a silent target has not crashed",
+            losses: &[(1, Fate::Silent), (2, Fate::Silent)],
+            verdict: Verdict::Unsuspected,
+        },
+        Case {
+            name: "three silent targets may have crashed",
+            losses: &[(1, Fate::Silent), (2, Fate::Silent), (3, Fate::Silent)],
+            verdict: Verdict::Undecided,
+        },
+        Case {
+            name: "silent targets that answer again count no more",
+            losses: &[
+                (1, Fate::Silent),
+                (2, Fate::Silent),
+                (3, Fate::Silent),
+                (3, Fate::Alive),
+            ],
+            verdict: Verdict::Unsuspected,
+        },
+        Case {
+            name: "one target that refuses connections",
+            losses: &[(1, Fate::Refusing)],
+            verdict: Verdict::Suspect,
+        },
+        Case {
+            name: "one crash, reported twice",
+            losses: &[(1, Fate::Crashed), (1, Fate::Crashed)],
+            verdict: Verdict::Suspect,
+        },
+        Case {
+            name: "a late report does not undo a crash",
+            losses: &[(1, Fate::Crashed), (1, Fate::Silent)],
+            verdict: Verdict::Suspect,
+        },
+        Case {
+            name: "two targets that refuse connections",
+            losses: &[(1, Fate::Refusing), (2, Fate::Refusing)],
+            verdict: Verdict::Undecided,
+        },
+        Case {
+            name: "one crash, one target that refuses connections",
+            losses: &[(1, Fate::Crashed), (2, Fate::Refusing)],
+            verdict: Verdict::Undecided,
+        },
+        Case {
+            name: "two crashes",
+            losses: &[(1, Fate::Crashed), (2, Fate::Crashed)],
+            verdict: Verdict::Harmful,
+        },
+        Case {
+            name: "one of two answers again",
+            losses: &[(1, Fate::Crashed), (2, Fate::Refusing), (2, Fate::Alive)],
+            verdict: Verdict::Suspect,
+        },
+    ];
+    runtime::paused(async {
+        for case in CASES {
+            let history = CrashHistory::default();
+            for (target, fate) in case.losses {
+                history.record(&loss_report(*target, *fate, task(1, 0)));
+            }
+            assert_eq!(history.verdict(task(1, 0)), case.verdict, "{}", case.name);
+            assert_eq!(history.verdict(task(1, 1)), Verdict::Unsuspected);
+            assert_eq!(history.has_run(JobId(1)), !case.losses.is_empty());
+            assert!(!history.has_run(JobId(2)));
+        }
+    });
+}
+
+#[test]
+fn the_list_of_targets_shows_crashes() {
+    struct Case {
+        name: &'static str,
+        fate: Fate,
+        /// Number, port and incarnation of the listed target.
+        listed: Option<(u32, u16, u64)>,
+        crashed: bool,
+    }
+    const CASES: [Case; 6] = [
+        Case {
+            name: "listed as before",
+            fate: Fate::Refusing,
+            listed: Some((2, 2, 10)),
+            crashed: false,
+        },
+        Case {
+            name: "listed in a later incarnation",
+            fate: Fate::Silent,
+            listed: Some((2, 3, 11)),
+            crashed: true,
+        },
+        Case {
+            name: "a later target at its address",
+            fate: Fate::Refusing,
+            listed: Some((3, 2, 11)),
+            crashed: true,
+        },
+        Case {
+            name: "an earlier target at its address",
+            fate: Fate::Refusing,
+            listed: Some((3, 2, 9)),
+            crashed: false,
+        },
+        Case {
+            name: "not listed: it may be cut off",
+            fate: Fate::Refusing,
+            listed: None,
+            crashed: false,
+        },
+        Case {
+            name: "known to live",
+            fate: Fate::Alive,
+            listed: Some((2, 2, 11)),
+            crashed: false,
+        },
+    ];
+    fn id(number: u32) -> String {
+        format!("target-{number}")
+    }
+    let listed = |(number, port, incarnation_ms): (u32, u16, u64)| Target {
+        id: id(number).into(),
+        incarnation_ms,
+        address: address(port),
+        service: "match".into(),
+        domain: "domain-0".into(),
+        capacity: Resources::default(),
+        labels: Vec::new(),
+        draining: false,
+    };
+    runtime::paused(async move {
+        for case in CASES {
+            let history = CrashHistory::default();
+            for (number, fate) in [(1, Fate::Crashed), (2, case.fate)] {
+                let mut report = loss_report(number, fate, task(1, 0));
+                report.loss.target = Target::short_id(&id(number));
+                history.record(&report);
+            }
+            let list: Vec<Target> = case.listed.map(listed).into_iter().collect();
+            history.compare_with_list(list.iter());
+            let verdict = history.verdict(task(1, 0));
+            assert_eq!(verdict == Verdict::Harmful, case.crashed, "{}", case.name);
+        }
+    });
+}
+
+/// What is remembered is bounded in time and in number.
+#[test]
+fn the_crash_history_forgets() {
+    runtime::paused(async {
+        let history = CrashHistory::default();
+        let tasks = |it: &CrashHistory| -> usize {
+            let reports = it.reports();
+            reports.iter().map(|it| it.tasks.len()).sum()
+        };
+        for job in 0..5_000 {
+            history.record(&loss_report(1, Fate::Crashed, task(job, 0)));
+        }
+        assert_eq!(tasks(&history), 4_096);
+        clock::sleep(ms(59_000)).await;
+        history.tick();
+        assert_eq!(tasks(&history), 4_096);
+        clock::sleep(ms(2_000)).await;
+        history.tick();
+        assert_eq!(tasks(&history), 0);
+    });
+}
--- a/crates/fleet/tests/sessions/main.rs
+++ b/crates/fleet/tests/sessions/main.rs
@@ -1,6 +1,7 @@
 //! Simulated deployments on the paused clock, each with a single fault.
 
 mod config;
+mod crashes;
 mod growth;
 mod injected_faults;
 mod random;
@@ -13,7 +14,7 @@
 use bluebellpath_runtime::runtime;
 use bluebellpath_standin::Mishap;
 
-use self::system::{JobSpec, Layout, SMALL, System, sleep_ms, target};
+use self::system::{CORES, JobSpec, Layout, SMALL, System, sleep_ms, target};
 
 #[test]
 fn without_faults_each_task_runs_once() {
@@ -660,3 +661,33 @@
         });
     }
 }
+
+/// The capacity of all targets shrinks to a single task, and grows again.
+#[test]
+fn a_target_whose_capacity_shrank_is_not_filled_beyond_it() {
+    const STEPS: u64 = 140;
+    runtime::paused(async {
+        let system = System::start(SMALL).await;
+        let targets = system.targets.list();
+        for step in 0..STEPS {
+            let spec = JobSpec {
+                job: 1 + step,
+                run_ms: 900,
+                ..JobSpec::default()
+            };
+            system.submit(usize::try_from(step % 4).expect("small"), spec);
+            match step {
+                30 | 90 => targets
+                    .keys()
+                    .for_each(|it| system.targets.set_cpu(it, 30_000)),
+                75 => targets
+                    .keys()
+                    .for_each(|it| system.targets.set_cpu(it, 1_000 * CORES)),
+                _ => {}
+            }
+            sleep_ms(100).await;
+        }
+        sleep_ms(6_000).await;
+        system.assert_no_violations();
+    });
+}
--- a/crates/fleet/tests/sessions/random.rs
+++ b/crates/fleet/tests/sessions/random.rs
@@ -2,7 +2,9 @@
 //!
 //! `SESSION_SEED` runs a single seed and `SESSION_LOG` prints the log.
 //! `SESSION_SEEDS=A-B` runs a range without `B`, on `SESSION_JOBS` threads, to its
-//! end, and prints the violations of each seed.
+//! end, and prints the violations of each seed. In the sessions of seeds from
+//! [`CRASH_SEEDS`] on, targets also crash, under tasks and by themselves, and their
+//! capacity shrinks and grows.
 
 use std::time::Duration;
 
@@ -10,11 +12,17 @@
 use bluebellpath_runtime::runtime;
 use bluebellpath_standin::Mishap;
 
-use crate::system::{JobSpec, Layout, System, sleep_ms};
+use crate::system::{CORES, JobSpec, Layout, System, sleep_ms};
 
 /// Seeds of each test run.
 const SEEDS: std::ops::Range<u64> = 0..150;
 
+/// First seed of the sessions with crashes.
+const CRASH_SEEDS: u64 = 1_000_000_000;
+
+/// Number of sessions with crashes in each test run.
+const CRASH_SESSIONS: u64 = 100;
+
 /// Seed that failed before.
 struct RegressionSeed {
     seed: u64,
@@ -128,6 +136,13 @@
     }
 }
 
+#[test]
+fn no_mix_of_faults_and_crashes_breaks_a_promise() {
+    for seed in CRASH_SEEDS..CRASH_SEEDS + CRASH_SESSIONS {
+        run_seed(seed);
+    }
+}
+
 pub fn parse_number(text: Option<&str>) -> Option<u64> {
     text.and_then(|it| it.parse().ok())
 }
@@ -185,11 +200,15 @@
                     run_ms: [60, 200, 900][rng.index(3)],
                     deadline_ms: 1_500 + rng.below(6_000),
                     fails: rng.below(40) == 0,
+                    crashes: seed >= CRASH_SEEDS && rng.below(25) == 0,
                     padding: 0,
                 };
                 system.submit(number, spec);
             }
             inject_fault(&mut system, &mut rng, &targets);
+            if seed >= CRASH_SEEDS {
+                inject_crash(&system, &mut rng, &targets);
+            }
             sleep_ms(10 + rng.below(100)).await;
         }
         for target in &targets {
@@ -204,6 +223,17 @@
     })
 }
 
+/// Crashes a target, or changes its capacity, from time to time.
+fn inject_crash(system: &System, rng: &mut Rng, targets: &[std::rc::Rc<str>]) {
+    let target = &targets[rng.index(targets.len())];
+    match rng.below(30) {
+        0 => system.targets.crash(target),
+        1 => system.targets.set_cpu(target, 1_000 * 30),
+        2 | 3 => system.targets.set_cpu(target, 1_000 * CORES),
+        _ => {}
+    }
+}
+
 /// Injects a random fault, or ends one.
 fn inject_fault(system: &mut System, rng: &mut Rng, targets: &[std::rc::Rc<str>]) {
     let number = rng.index(LAYOUT.domains * LAYOUT.instances);
--- a/crates/fleet/tests/sessions/system.rs
+++ b/crates/fleet/tests/sessions/system.rs
@@ -277,6 +277,8 @@
     pub run_ms: u64,
     pub deadline_ms: u64,
     pub fails: bool,
+    /// Whether the first task crashes its target.
+    pub crashes: bool,
     /// Bytes added to the specification.
     pub padding: usize,
 }
@@ -290,6 +292,7 @@
             run_ms: 200,
             deadline_ms: 8_000,
             fails: false,
+            crashes: false,
             padding: 0,
         }
     }
@@ -299,10 +302,11 @@
     pub fn submission(self) -> Submission {
         let millicores = self.cores * 1_000;
         let fails = if self.fails { " fail" } else { "" };
+        let crashes = if self.crashes { " crash" } else { "" };
         Submission {
             job: JobId(self.job),
             spec: format!(
-                "{millicores} {}{fails} {}",
+                "{millicores} {}{fails}{crashes} {}",
                 self.run_ms,
                 "-".repeat(self.padding)
             )
--- a/crates/standin/src/yard.rs
+++ b/crates/standin/src/yard.rs
@@ -3,8 +3,9 @@
 that get lost or come late.
 
 The yard also watches what the users fear: a target above its capacity, a task
-with two runs at once. What a task takes is written in its spec as
-`CPU MILLISECONDS`, with ` fail` behind it for a task that fails.
+with two runs at once, a task that crashes target after target. What a task takes
+is written in its spec as `CPU MILLISECONDS`, with ` fail` behind it for a task that
+fails and ` crash` for a job whose first task crashes its target instead of ending.
 */
 
 use std::{
@@ -50,6 +51,19 @@
     Hang,
 }
 
+/// Time for which a target is down after a task has crashed it.
+const DOWN: Duration = Duration::from_millis(3_200);
+
+/// Crashes under one task after which its starts are counted.
+const CRASHES: u32 = 3;
+
+/// Starts after these crashes that are too many.
+const STARTS_AFTER_CRASHES: u32 = 3;
+
+/// Time for which a capacity that has shrunk is not held against those who start
+/// tasks.
+const SHRINK_GRACE: Duration = Duration::from_millis(4_500);
+
 /// Run time of what never ends, longer than any session.
 const FOREVER: Duration = Duration::from_secs(86_400);
 
@@ -62,11 +76,18 @@
     targets: RefCell<BTreeMap<Rc<str>, Rc<State>>>,
     violations: RefCell<Vec<String>>,
     started: RefCell<BTreeMap<TaskId, u32>>,
+    /// Crashes under each task that crashes its targets, and its starts after
+    /// [`CRASHES`] of them.
+    crashes: RefCell<BTreeMap<TaskId, (u32, u32)>>,
     cuts: RefCell<BTreeSet<(Rc<str>, Rc<str>)>>,
 }
 
 struct State {
-    target: Target,
+    target: RefCell<Target>,
+    /// End of the time for which the target is down after a crash.
+    down_until: Cell<Option<Instant>>,
+    /// Cores before the last change, and its time.
+    shrunk: Cell<(u32, Instant)>,
     mishap: Cell<Mishap>,
     changed: Notify,
     fence: Cell<u64>,
@@ -82,6 +103,7 @@
     cpu: u32,
     until: Instant,
     fails: bool,
+    crashes: bool,
 }
 
 /// Orders of one instance, which its failure domain's cuts affect.
@@ -94,7 +116,9 @@
     /// Adds a target.
     pub fn add(&self, target: Target) {
         let state = State {
-            target: target.clone(),
+            target: RefCell::new(target.clone()),
+            down_until: Cell::default(),
+            shrunk: Cell::new((target.capacity.cpu, clock::now())),
             mishap: Cell::default(),
             changed: Notify::new(),
             fence: Cell::new(0),
@@ -115,10 +139,33 @@
         let targets = self.0.targets.borrow();
         targets
             .iter()
-            .map(|(id, it)| (id.clone(), it.target.clone()))
+            .map(|(id, it)| (id.clone(), it.listed()))
             .collect()
     }
 
+    /// Sets the cores of the target `id`, in thousandths.
+    pub fn set_cpu(&self, id: &str, cpu: u32) {
+        if let Some(state) = self.state(id) {
+            let before = std::mem::replace(&mut state.target.borrow_mut().capacity.cpu, cpu);
+            if before != cpu {
+                state.shrunk.set((before, clock::now()));
+            }
+        }
+    }
+
+    /// Crashes the target `id`, which is back after a while as a new incarnation.
+    pub fn crash(&self, id: &str) {
+        if let Some(state) = self.state(id) {
+            state.crash();
+        }
+    }
+
+    /// Crashes of targets under each task that crashes them.
+    pub fn crashes(&self) -> BTreeMap<TaskId, u32> {
+        let crashes = self.0.crashes.borrow();
+        crashes.iter().map(|(task, it)| (*task, it.0)).collect()
+    }
+
     /// Orders of an instance in `domain`.
     pub fn hand(&self, domain: &str) -> Hand {
         Hand {
@@ -157,7 +204,7 @@
     pub fn running(&self) -> Vec<(Rc<str>, TaskId, u32)> {
         let mut all = Vec::new();
         for (id, state) in self.0.targets.borrow().iter() {
-            state.advance();
+            self.advance(state);
             let runs = state.runs.borrow();
             all.extend(runs.keys().map(|(task, run)| (id.clone(), *task, *run)));
         }
@@ -168,8 +215,23 @@
         self.0.targets.borrow().get(id).cloned()
     }
 
-    fn begin(&self, state: &State, start: &StartRequest) -> Result<u64, RequestError> {
+    /// Ends what has ended on a target by now, the target among them.
+    fn advance(&self, state: &State) {
+        let now = clock::now();
+        let crashing = |(_, it): &(_, &Busy)| it.crashes && now >= it.until;
+        let task = state.runs.borrow().iter().find(crashing).map(|it| it.0.0);
+        if let Some(task) = task {
+            self.0.crashes.borrow_mut().entry(task).or_default().0 += 1;
+            state.crash();
+        }
         state.advance();
+    }
+
+    fn begin(&self, state: &State, start: &StartRequest) -> Result<u64, RequestError> {
+        self.advance(state);
+        if state.is_down() {
+            return Err(RequestError::Refused);
+        }
         state.check(start.fencing_token)?;
         let key = (start.task, start.run);
         if state.runs.borrow().contains_key(&key) {
@@ -198,10 +260,12 @@
             Mishap::Hang => FOREVER,
             _ => Duration::from_millis(run_ms.into()),
         };
+        let words: Vec<_> = words.collect();
         let busy = Busy {
             cpu,
             until: clock::now() + lasts,
-            fails: words.any(|it| it == "fail"),
+            fails: words.contains(&"fail"),
+            crashes: words.contains(&"crash") && start.task.index == 0,
         };
         self.watch(state, start, cpu);
         state.extend(start.lease_end_ms);
@@ -213,14 +277,27 @@
 
     /// Notes what a start does that must never happen.
     fn watch(&self, state: &State, start: &StartRequest, cpu: u32) {
-        let id = &state.target.id;
+        let Target { id, capacity, .. } = state.target.borrow().clone();
         let taken: u32 = state.runs.borrow().values().map(|it| it.cpu).sum();
         let mut violations = self.0.violations.borrow_mut();
-        if taken + cpu > state.target.capacity.cpu {
+        let (before, shrunk_at) = state.shrunk.get();
+        let allowed = match clock::now() - shrunk_at < SHRINK_GRACE {
+            true => before.max(capacity.cpu),
+            false => capacity.cpu,
+        };
+        if taken + cpu > allowed {
             violations.push(format!("{id} above its capacity by {}", start.task));
         }
+        if let Some((crashes, starts)) = self.0.crashes.borrow_mut().get_mut(&start.task)
+            && *crashes >= CRASHES
+        {
+            *starts += 1;
+            if *starts >= STARTS_AFTER_CRASHES {
+                violations.push(format!("{} started after {crashes} crashes", start.task));
+            }
+        }
         for (other, state) in self.0.targets.borrow().iter() {
-            state.advance();
+            self.advance(state);
             let runs = state.runs.borrow();
             if let Some((_, run)) = runs.keys().find(|it| it.0 == start.task) {
                 violations.push(format!(
@@ -233,6 +310,30 @@
 }
 
 impl State {
+    /// Entry in the list, which a target renews only when it is back.
+    fn listed(&self) -> Target {
+        let mut target = self.target.borrow().clone();
+        target.incarnation_ms -= u64::from(self.is_down());
+        target
+    }
+
+    fn is_down(&self) -> bool {
+        self.down_until.get().is_some_and(|it| clock::now() < it)
+    }
+
+    /// Loses all that the target holds and knows. Only the list keeps it.
+    fn crash(&self) {
+        self.down_until.set(Some(clock::now() + DOWN));
+        self.runs.borrow_mut().clear();
+        self.ended.borrow_mut().clear();
+        self.highest.borrow_mut().clear();
+        self.fence.set(0);
+        self.lease_end.set(0);
+        self.ends.set(0);
+        self.target.borrow_mut().incarnation_ms += 1;
+        self.changed.notify();
+    }
+
     fn check(&self, fence: u64) -> Result<(), RequestError> {
         if fence < self.fence.get() {
             return Err(RequestError::Fenced);
@@ -248,6 +349,9 @@
 
     /// Ends what has ended by now.
     fn advance(&self) {
+        if self.is_down() {
+            return;
+        }
         let now = clock::now();
         let lapsed = now_ms() >= self.lease_end.get();
         let mut runs = self.runs.borrow_mut();
@@ -286,7 +390,7 @@
         });
         Status {
             clock_ms: now_ms(),
-            incarnation_ms: Some(self.target.incarnation_ms),
+            incarnation_ms: Some(self.target.borrow().incarnation_ms),
             running: running.collect(),
             ended: self.ended.borrow().clone(),
         }
@@ -306,13 +410,20 @@
 }
 
 impl Hand {
-    /// Target that an order reaches; `None` once the order is lost.
-    async fn reach(&self, id: &str) -> Option<Rc<State>> {
+    /// Target that an order reaches. An order that is lost fails after a while.
+    async fn reach(&self, id: &str) -> Result<Rc<State>, RequestError> {
         clock::sleep(WAY).await;
-        let state = self.yard.state(id)?;
-        let cut = (self.domain.clone(), state.target.domain.clone());
-        let lost = self.yard.0.cuts.borrow().contains(&cut) || state.mishap.get() == Mishap::Dark;
-        (!lost).then_some(state)
+        let state = self.yard.state(id).ok_or(RequestError::Unknown)?;
+        let cut = (self.domain.clone(), state.target.borrow().domain.clone());
+        if self.yard.0.cuts.borrow().contains(&cut) || state.mishap.get() == Mishap::Dark {
+            clock::sleep(ANSWER).await;
+            return Err(RequestError::Unknown);
+        }
+        self.yard.advance(&state);
+        match state.is_down() {
+            true => Err(RequestError::Refused),
+            false => Ok(state),
+        }
     }
 
     fn clone(&self) -> Hand {
@@ -328,10 +439,7 @@
     ) -> LocalFuture<'static, Result<u64, RequestError>> {
         let (hand, id) = (self.clone(), target.id.clone());
         Box::pin(async move {
-            let Some(state) = hand.reach(&id).await else {
-                clock::sleep(ANSWER).await;
-                return Err(RequestError::Unknown);
-            };
+            let state = hand.reach(&id).await?;
             match state.mishap.get() {
                 Mishap::Late(delay) => {
                     // The order outlives whoever sent it.
@@ -366,11 +474,7 @@
     ) -> LocalFuture<'static, Result<u64, RequestError>> {
         let (hand, id) = (self.clone(), target.id.clone());
         Box::pin(async move {
-            let Some(state) = hand.reach(&id).await else {
-                clock::sleep(ANSWER).await;
-                return Err(RequestError::Unknown);
-            };
-            state.advance();
+            let state = hand.reach(&id).await?;
             state.check(fence)?;
             if state.runs.borrow_mut().remove(&(task, run)).is_some() {
                 state.end((task, run), ExitStatus::Interrupted);
@@ -387,11 +491,7 @@
     ) -> LocalFuture<'static, Result<Status, RequestError>> {
         let (hand, id) = (self.clone(), target.id.clone());
         Box::pin(async move {
-            let Some(state) = hand.reach(&id).await else {
-                clock::sleep(ANSWER).await;
-                return Err(RequestError::Unknown);
-            };
-            state.advance();
+            let state = hand.reach(&id).await?;
             state.check(hold.fencing_token)?;
             if let Some(until_ms) = hold.lease_end_ms {
                 state.extend(until_ms);
@@ -404,7 +504,10 @@
             while state.ended.borrow().is_empty() && clock::now() < end {
                 let wait = state.next_end().min(end - clock::now());
                 clock::timeout(wait, state.changed.notified()).await;
-                state.advance();
+                hand.yard.advance(&state);
+                if state.is_down() {
+                    return Err(RequestError::Unknown);
+                }
             }
             if state.mishap.get() == Mishap::Mute {
                 clock::sleep(ANSWER).await;
