Show that a slow reader of the list delays no news of its peers

Cause looked for: DRAIN on the grown sites came from a reader that fell behind and whose messages its peers took for a sign that they were up to date. A slow reader might do the same.

No code of the product but a question that the test asks the scheduler.

--- a/crates/fleet/src/scheduler/mod.rs
+++ b/crates/fleet/src/scheduler/mod.rs
@@ -213,6 +213,12 @@
         self.0.held_targets.borrow().keys().cloned().collect()
     }
 
+    /// Whether the held target `id` is known to be draining.
+    pub fn is_draining(&self, id: &str) -> bool {
+        let held = self.0.held_targets.borrow();
+        held.get(id).is_some_and(|it| it.target.borrow().draining)
+    }
+
     /// Whether the runs on all held targets are known.
     pub fn is_synced(&self) -> bool {
         let held = self.0.held_targets.borrow();
--- a/crates/fleet/tests/sessions/main.rs
+++ b/crates/fleet/tests/sessions/main.rs
@@ -691,3 +691,30 @@
         system.assert_no_violations();
     });
 }
+
+/// A reader whose answers come late sends its peers a list that is old already, and so
+/// keeps them from reading it themselves.
+#[test]
+fn a_slow_reader_does_not_delay_the_news_of_its_peers() {
+    /// Time within which a draining target must be known.
+    const KNOWN_WITHIN_MS: u64 = 2_000;
+    for delay_ms in [400, 900, 1_300, 1_800] {
+        for offset_ms in (0..4_000).step_by(200) {
+            runtime::paused(async move {
+                let system = System::start(SMALL).await;
+                let slow = (0, Duration::from_millis(delay_ms));
+                system.target_list.slow_reader.set(Some(slow));
+                sleep_ms(6_000 + offset_ms).await;
+                let scheduler = system.instances[1].node.scheduler().clone();
+                let drained = scheduler.target_ids().first().cloned();
+                let drained = drained.expect("instance 1 holds a target");
+                system.targets.drain(&drained);
+                sleep_ms(KNOWN_WITHIN_MS).await;
+                assert!(
+                    scheduler.is_draining(&drained),
+                    "answers after {delay_ms} ms, drained {offset_ms} ms later"
+                );
+            });
+        }
+    }
+}
--- a/crates/fleet/tests/sessions/system.rs
+++ b/crates/fleet/tests/sessions/system.rs
@@ -57,6 +57,8 @@
     pub read_counts: RefCell<BTreeMap<usize, u32>>,
     /// Instance that gets a stale view of the list.
     pub stale_reader: Cell<Option<usize>>,
+    /// Instance whose reads of the list take this long.
+    pub slow_reader: Cell<Option<(usize, Duration)>>,
 }
 
 /// Deployment of entry instances and targets.
@@ -159,13 +161,18 @@
                     .borrow_mut()
                     .entry(number)
                     .or_default() += 1;
-                match target_list.stale_reader.get() == Some(number) {
-                    true => started_node.update_targets(0, Vec::new()),
-                    false => {
-                        let rows = targets.list().into_iter().map(|(id, it)| (id, Some(it)));
-                        started_node.update_targets(target_list_version(), rows.collect());
-                    }
+                if target_list.stale_reader.get() == Some(number) {
+                    started_node.update_targets(0, Vec::new());
+                    continue;
                 }
+                let version = target_list_version();
+                let rows = targets.list().into_iter().map(|(id, it)| (id, Some(it)));
+                let rows = rows.collect();
+                if let Some((_, delay)) = target_list.slow_reader.get().filter(|it| it.0 == number)
+                {
+                    clock::sleep(delay).await;
+                }
+                started_node.update_targets(version, rows);
             }
         }));
         self.mesh.join(address, node.clone(), scope.clone());
--- a/crates/standin/src/yard.rs
+++ b/crates/standin/src/yard.rs
@@ -153,6 +153,13 @@
         }
     }
 
+    /// Lists the target `id` as draining.
+    pub fn drain(&self, id: &str) {
+        if let Some(state) = self.state(id) {
+            state.target.borrow_mut().draining = true;
+        }
+    }
+
     /// Crashes the target `id`, which is back after a while as a new incarnation.
     pub fn crash(&self, id: &str) {
         if let Some(state) = self.state(id) {
