Say nothing of "not run" once a target knew the run number

Callers were told that a job had not run (503) although its task had: the first frontend died with the job, its successor's run number was refused as used by the target, and no room came free for the next one.

Cause: a frontend counted every run that certainly didn't start as proof that nothing of the job had run, also one that another frontend's run with the same number had kept from starting.

Change: a used run number counts as a sign that the job has begun. The job is answered as unknown then. The comparison of crashes with the list takes the later one of two targets at one address.

Test first: a_job_of_a_dead_frontend_is_not_reported_as_not_run got Refused(700ms).

--- a/crates/fleet/src/crash_history.rs
+++ b/crates/fleet/src/crash_history.rs
@@ -20,7 +20,7 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use crate::{JobId, Target, TaskId};
+use crate::{JobId, TaskId, target_list::TargetList};
 
 /// Time for which a task is remembered after its last loss. A caller that gets no
 /// answer submits its job again within some seconds.
@@ -161,8 +161,8 @@
         }
     }
 
-    /// Whether a target was lost under a task of `job`, which has therefore run.
-    pub fn has_run(&self, job: JobId) -> bool {
+    /// Whether a target was lost under a task of `job`, which may therefore have run.
+    pub fn may_have_run(&self, job: JobId) -> bool {
         self.tasks_of(job).next().is_some()
     }
 
@@ -203,24 +203,23 @@
     /// Decides the fate of targets from the list of targets. A target has crashed if
     /// its id or its address is listed with a later incarnation; one that is listed no
     /// more may also be cut off.
-    pub fn compare_with_list<'a>(&self, listed: impl Iterator<Item = &'a Target>) {
+    pub fn compare_with_list(&self, list: &TargetList) {
         let mut tasks = self.tasks.borrow_mut();
         let losses = tasks.values_mut().flat_map(|it| it.losses.iter_mut());
         let open: Vec<_> = losses.filter(|it| it.fate < Fate::Alive).collect();
         if open.is_empty() {
             return;
         }
-        let mut by_id = BTreeMap::new();
-        let mut by_address = BTreeMap::new();
-        for target in listed {
-            by_id.insert(Target::short_id(&target.id), target.incarnation_ms);
-            by_address.insert(target.address, target.incarnation_ms);
+        let mut by_address: BTreeMap<_, u64> = BTreeMap::new();
+        for target in list.targets().values() {
+            let latest = by_address.entry(target.address).or_default();
+            *latest = target.incarnation_ms.max(*latest);
         }
         let mut changed = false;
         for loss in open {
-            let listed = [by_id.get(&loss.target), by_address.get(&loss.address)];
-            let is_later = |it: &u64| *it > loss.incarnation_ms;
-            if listed.into_iter().flatten().any(is_later) {
+            let under_id = list.find(loss.target).map(|it| it.incarnation_ms);
+            let at_address = by_address.get(&loss.address).copied();
+            if under_id.max(at_address) > Some(loss.incarnation_ms) {
                 loss.fate = Fate::Crashed;
                 changed = true;
             }
--- a/crates/fleet/src/frontend/mod.rs
+++ b/crates/fleet/src/frontend/mod.rs
@@ -359,7 +359,7 @@
         let active_job = ActiveJob {
             submission,
             received_at,
-            started: Cell::new(self.crash_history.has_run(submission.job)),
+            started: Cell::new(self.crash_history.may_have_run(submission.job)),
             stopping: Cell::new(false),
             unanswered_runs: RefCell::default(),
         };
@@ -509,7 +509,12 @@
                 }
             };
             active_job.unanswered_runs.borrow_mut().remove(&(task, run));
-            if !matches!(run_outcome, RunOutcome::NotStarted(_)) {
+            // A used run number is that of another frontend, which had the job before.
+            let never_started = matches!(
+                run_outcome,
+                RunOutcome::NotStarted(reason) if reason != NotStartedReason::RunNumberUsed
+            );
+            if !never_started {
                 active_job.started.set(true);
             }
             match run_outcome {
@@ -611,7 +616,7 @@
 
     /// Whether a task of the job may have run, here or elsewhere.
     fn may_have_run(&self, job: JobId) -> bool {
-        self.started_jobs.borrow().contains_key(&job) || self.crash_history.has_run(job)
+        self.started_jobs.borrow().contains_key(&job) || self.crash_history.may_have_run(job)
     }
 
     /// Remembers that a task of the job may have run.
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -671,7 +671,7 @@
         });
         let owned: Vec<Target> = owned.cloned().collect();
         let before = self.scheduler.short_ids();
-        self.crash_history.compare_with_list(targets.values());
+        self.crash_history.compare_with_list(&target_list);
         self.scheduler.assign_targets(&owned);
         // Frontends send work only to targets that a heartbeat has announced.
         if self.scheduler.short_ids() != before {
--- a/crates/fleet/tests/decisions.rs
+++ b/crates/fleet/tests/decisions.rs
@@ -21,6 +21,7 @@
     placement,
     read_schedule::Schedule,
     run_time::Estimator,
+    target_list::TargetList,
 };
 use bluebellpath_runtime::{Instant, clock, runtime};
 use quickcheck::quickcheck;
@@ -658,8 +659,8 @@
             }
             assert_eq!(history.verdict(task(1, 0)), case.verdict, "{}", case.name);
             assert_eq!(history.verdict(task(1, 1)), Verdict::Unsuspected);
-            assert_eq!(history.has_run(JobId(1)), !case.losses.is_empty());
-            assert!(!history.has_run(JobId(2)));
+            assert_eq!(history.may_have_run(JobId(1)), !case.losses.is_empty());
+            assert!(!history.may_have_run(JobId(2)));
         }
     });
 }
@@ -669,52 +670,58 @@
     struct Case {
         name: &'static str,
         fate: Fate,
-        /// Number, port and incarnation of the listed target.
-        listed: Option<(u32, u16, u64)>,
+        /// Number, port and incarnation of each listed target.
+        listed: &'static [(u32, u16, u64)],
         crashed: bool,
     }
-    const CASES: [Case; 6] = [
+    const CASES: [Case; 7] = [
+        Case {
+            name: "still listed, beside a later target at its address",
+            fate: Fate::Refusing,
+            listed: &[(2, 2, 10), (3, 2, 11)],
+            crashed: true,
+        },
         Case {
             name: "listed as before",
             fate: Fate::Refusing,
-            listed: Some((2, 2, 10)),
+            listed: &[(2, 2, 10)],
             crashed: false,
         },
         Case {
             name: "listed in a later incarnation",
             fate: Fate::Silent,
-            listed: Some((2, 3, 11)),
+            listed: &[(2, 3, 11)],
             crashed: true,
         },
         Case {
             name: "a later target at its address",
             fate: Fate::Refusing,
-            listed: Some((3, 2, 11)),
+            listed: &[(3, 2, 11)],
             crashed: true,
         },
         Case {
             name: "an earlier target at its address",
             fate: Fate::Refusing,
-            listed: Some((3, 2, 9)),
+            listed: &[(3, 2, 9)],
             crashed: false,
         },
         Case {
             name: "not listed: it may be cut off",
             fate: Fate::Refusing,
-            listed: None,
+            listed: &[],
             crashed: false,
         },
         Case {
             name: "known to live",
             fate: Fate::Alive,
-            listed: Some((2, 2, 11)),
+            listed: &[(2, 2, 11)],
             crashed: false,
         },
     ];
     fn id(number: u32) -> String {
         format!("target-{number}")
     }
-    let listed = |(number, port, incarnation_ms): (u32, u16, u64)| Target {
+    let listed = |&(number, port, incarnation_ms): &(u32, u16, u64)| Target {
         id: id(number).into(),
         incarnation_ms,
         address: address(port),
@@ -732,8 +739,10 @@
                 report.loss.target = Target::short_id(&id(number));
                 history.record(&report);
             }
-            let list: Vec<Target> = case.listed.map(listed).into_iter().collect();
-            history.compare_with_list(list.iter());
+            let targets = case.listed.iter().map(listed);
+            let mut list = TargetList::default();
+            list.replace(1, targets.map(|it| (it.id.clone(), it)).collect());
+            history.compare_with_list(&list);
             let verdict = history.verdict(task(1, 0));
             assert_eq!(verdict == Verdict::Harmful, case.crashed, "{}", case.name);
         }
--- a/crates/fleet/tests/sessions/main.rs
+++ b/crates/fleet/tests/sessions/main.rs
@@ -718,3 +718,38 @@
         }
     }
 }
+
+/// The first frontend of a job dies. Only the target still knows that a task of the job
+/// has run; the second frontend then finds no room for it.
+#[test]
+fn a_job_of_a_dead_frontend_is_not_reported_as_not_run() {
+    const LAYOUT: Layout = Layout {
+        domains: 1,
+        instances: 2,
+        targets: 1,
+    };
+    let job = |job, run_ms, deadline_ms| JobSpec {
+        job,
+        tasks: 1,
+        run_ms,
+        deadline_ms,
+        ..JobSpec::default()
+    };
+    runtime::paused(async move {
+        let system = System::start(LAYOUT).await;
+        system.submit(0, job(1, 5_000, 8_000));
+        sleep_ms(150).await;
+        system.kill(0);
+        sleep_ms(2_000).await;
+        assert_eq!(system.started_runs(1), 1);
+        system.submit(1, job(2, 1_000, 8_000));
+        sleep_ms(50).await;
+        // The third job takes the place of the first one once the target refuses its
+        // run number.
+        system.submit(1, job(1, 400, 900));
+        system.submit(1, job(3, 4_000, 8_000));
+        sleep_ms(6_000).await;
+        assert_eq!(system.answer(1), Some(Answer::Unknown));
+        system.assert_no_violations();
+    });
+}
