Say in the log why a run is gone from a target that is not lost

Cause: "run is gone" said the same for a target that only has no such run and for one that has announced its end.

Change: a cause on the line, and how to read it. No behaviour.

--- a/crates/fleet/src/scheduler/mod.rs
+++ b/crates/fleet/src/scheduler/mod.rs
@@ -34,7 +34,7 @@
     InjectedFault, Target,
     backlog::{Backlog, Position},
     circuit_breaker,
-    crash_history::LossReport,
+    crash_history::{Fate, LossReport},
     fencing::TokenSource,
     identity::Identity,
     messages::{Load, NotStartedReason, RunOutcome, RunRequest},
@@ -807,8 +807,12 @@
                     self.record_end(held, key, run, exit_status)
                 }
                 held_target::RunEvent::Lost(key, run) => {
+                    let cause = match held.loss(Fate::Silent) {
+                        Some(_) => "its target does not list it",
+                        None => "its target has announced its end",
+                    };
                     info!(self.log, "run is gone"; "task" => %key.0, "run" => key.1,
-                        "target" => %held.target.borrow().id, "target_is" => "held or draining");
+                        "target" => %held.target.borrow().id, "cause" => cause);
                     if let Some(reply) = run.reply {
                         let _ = reply.send(RunOutcome::Lost);
                     }
