--- a/crates/fleet/tests/sessions/main.rs
+++ b/crates/fleet/tests/sessions/main.rs
@@ -753,3 +753,37 @@
         system.assert_no_violations();
     });
 }
+
+/// An owner is cut off from a domain whose targets it holds, and an instance of that
+/// domain takes them over before the lease ends. The successor renews the lease while
+/// it waits for the runs to be claimed.
+#[test]
+fn a_run_that_a_successor_keeps_alive_is_not_started_elsewhere() {
+    const LAYOUT: Layout = Layout {
+        domains: 3,
+        instances: 2,
+        targets: 4,
+    };
+    for takeover_ms in (300..1_000).step_by(50) {
+        runtime::paused(async move {
+            let mut system = System::start(LAYOUT).await;
+            system.kill(2);
+            system.kill(3);
+            sleep_ms(2_000).await;
+            let spec = JobSpec {
+                tasks: 20,
+                run_ms: 3_000,
+                deadline_ms: 14_000,
+                ..JobSpec::default()
+            };
+            system.submit(0, spec);
+            sleep_ms(500).await;
+            system.set_partitioned("domain-1", true);
+            sleep_ms(takeover_ms).await;
+            system.start_instance(2, 1);
+            sleep_ms(6_000).await;
+            let violations = system.violations();
+            assert!(violations.is_empty(), "{takeover_ms} ms: {violations:#?}");
+        });
+    }
+}
