--- a/crates/fleet/tests/sessions/main.rs
+++ b/crates/fleet/tests/sessions/main.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod growth;
 mod injected_faults;
+mod overload;
 mod random;
 mod spread;
 mod system;
--- a/crates/fleet/tests/sessions/system.rs
+++ b/crates/fleet/tests/sessions/system.rs
@@ -44,7 +44,7 @@
     pub node: Rc<Node>,
     pub address: SocketAddr,
     pub domain: String,
-    scope: Scope,
+    pub scope: Scope,
 }
 
 /// Answers by job id.
