--- a/crates/fleet/tests/decisions.rs
+++ b/crates/fleet/tests/decisions.rs
@@ -15,6 +15,7 @@
     crash_history::{CrashHistory, Fate, Loss, LossReport, Verdict},
     fencing::{self, TokenSource},
     identity::{Claim, Claimed, Identity, StoredIdentity},
+    lost_answers::LostAnswers,
     messages::Load,
     owner_selection::{self, Demand, Distance, Owner},
     ownership::{Assignment, Candidate},
@@ -770,3 +771,43 @@
         assert_eq!(tasks(&history), 0);
     });
 }
+
+#[test]
+fn lost_answers_are_widespread_only_if_several_targets_lose_them() {
+    struct Case {
+        name: &'static str,
+        /// Targets whose answers are lost, with the times in milliseconds.
+        lost: &'static [(u32, u64)],
+        widespread: bool,
+    }
+    const CASES: [Case; 4] = [
+        Case {
+            name: "nothing is lost",
+            lost: &[],
+            widespread: false,
+        },
+        Case {
+            name: "one target has failed",
+            lost: &[(1, 9_000), (1, 9_400), (1, 9_900)],
+            widespread: false,
+        },
+        Case {
+            name: "two targets lose answers",
+            lost: &[(1, 9_000), (2, 9_900)],
+            widespread: true,
+        },
+        Case {
+            name: "the first loss is long ago",
+            lost: &[(1, 7_000), (2, 9_900)],
+            widespread: false,
+        },
+    ];
+    for case in CASES {
+        let mut lost_answers = LostAnswers::default();
+        for (target, ms) in case.lost {
+            lost_answers.record(*target, at(*ms));
+        }
+        let widespread = lost_answers.is_widespread(at(10_000));
+        assert_eq!(widespread, case.widespread, "{}", case.name);
+    }
+}
--- a/crates/fleet/tests/sessions/main.rs
+++ b/crates/fleet/tests/sessions/main.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod growth;
 mod injected_faults;
+mod lost_answers;
 mod overload;
 mod random;
 mod spread;
--- a/crates/standin/src/yard.rs
+++ b/crates/standin/src/yard.rs
@@ -49,6 +49,8 @@
     Refuse,
     /// What is started there never ends.
     Hang,
+    /// The answer to one in this many polls is lost.
+    Lossy(u64),
 }
 
 /// Time for which a target is down after a task has crashed it.
@@ -93,6 +95,7 @@
     fence: Cell<u64>,
     lease_end: Cell<u64>,
     ends: Cell<u64>,
+    polls: Cell<u64>,
     runs: RefCell<BTreeMap<(TaskId, u32), Busy>>,
     ended: RefCell<Vec<EndedRun>>,
     highest: RefCell<BTreeMap<TaskId, u32>>,
@@ -124,6 +127,7 @@
             fence: Cell::new(0),
             lease_end: Cell::new(0),
             ends: Cell::new(0),
+            polls: Cell::new(0),
             runs: RefCell::default(),
             ended: RefCell::default(),
             highest: RefCell::default(),
@@ -463,7 +467,7 @@
                     Err(RequestError::Unknown)
                 }
                 Mishap::Refuse => Err(RequestError::Unhealthy),
-                Mishap::None | Mishap::Dark | Mishap::Hang => {
+                Mishap::None | Mishap::Dark | Mishap::Hang | Mishap::Lossy(_) => {
                     let begun = hand.yard.begin(&state, &start);
                     clock::sleep(WAY).await;
                     begun
@@ -508,6 +512,13 @@
                 .borrow_mut()
                 .retain(|it| it.number > hold.acknowledged_end);
             let end = clock::now() + Duration::from_millis(hold.max_wait_ms);
+            state.polls.set(state.polls.get() + 1);
+            if let Mishap::Lossy(share) = state.mishap.get()
+                && state.polls.get().is_multiple_of(share)
+            {
+                clock::sleep_until(end + ANSWER).await;
+                return Err(RequestError::Unknown);
+            }
             while state.ended.borrow().is_empty() && clock::now() < end {
                 let wait = state.next_end().min(end - clock::now());
                 clock::timeout(wait, state.changed.notified()).await;
