--- a/crates/fleet/src/scheduler/held_target.rs
+++ b/crates/fleet/src/scheduler/held_target.rs
@@ -204,6 +204,12 @@
         free
     }
 
+    /// Whether the target is held with runs on it.
+    pub(super) fn has_runs(&self) -> bool {
+        let state = self.state.borrow();
+        state.acquired && !state.runs.is_empty()
+    }
+
     /// Whether tasks may be started on the target.
     pub(super) fn accepts_starts(&self) -> bool {
         let state = self.state.borrow();
--- a/crates/fleet/src/scheduler/poll_loop.rs
+++ b/crates/fleet/src/scheduler/poll_loop.rs
@@ -115,10 +115,7 @@
 /// Only answers count here; failures are left to the other loop.
 async fn run_backup(shared: Rc<Shared>, held: Rc<HeldTarget>) {
     while !held.released.get() && shared.is_hedging() {
-        let state = held.state.borrow();
-        let has_runs = state.acquired && !state.runs.is_empty();
-        drop(state);
-        let poll = has_runs.then(|| next_poll(&shared, &held)).flatten();
+        let poll = held.has_runs().then(|| next_poll(&shared, &held)).flatten();
         let Some(poll) = poll else {
             clock::sleep(RETRY_DELAY).await;
             continue;
