Start tasks that can be in time first, and answer expired ones at once

Cause: within a priority the backlog was ordered by the time at which a task should start. Under overload the tasks that had already missed their goal went first, each made the next one late, and everything was served late. Tasks whose answers had no value any more could still start between two ticks.

Change: within a priority, tasks that can still end within their goal go first, by least slack; then the others, the one that became late last first. Expired tasks leave the backlog before each start. A session test checks that a job of which no task had started by then is answered as refused.

--- a/crates/fleet/src/backlog.rs
+++ b/crates/fleet/src/backlog.rs
@@ -2,12 +2,17 @@
 Backlog of tasks that wait for capacity.
 
 A burst can submit more tasks than the targets can run for several seconds.
-Tasks are ordered by priority, lowest value first, and within a priority by the
-time at which they should start. A task that fits on no target does not block
-the tasks behind it.
+Tasks are ordered by priority, lowest value first. Within a priority, the tasks
+that can still end within their goal come first, by least slack; the tasks that
+can only be late follow. If the late tasks went first, each start would make
+another task late, and under overload every task would be. A task that fits on no
+target does not block the tasks behind it.
+
+Each task has a time after which a start is of no value. [`Backlog::take_expired`]
+removes such tasks, so that their jobs are given up before they cost capacity.
 */
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use bluebellpath_runtime::Instant;
 
@@ -26,56 +31,112 @@
     arrival: u64,
 }
 
-/// Waiting tasks in scheduling order, each with an item of type `T`.
+impl Position {
+    /// Position before all tasks of `priority` that should start at `start_by` or later.
+    fn first(priority: u8, start_by: Instant) -> Position {
+        Position {
+            priority,
+            start_by,
+            arrival: 0,
+        }
+    }
+}
+
+/// Waiting tasks, each with an item of type `T`.
 #[derive(Debug)]
 pub struct Backlog<T> {
-    entries: BTreeMap<Position, T>,
+    entries: BTreeMap<Position, Entry<T>>,
+    /// Positions by the time at which they expire.
+    expiries: BTreeSet<(Instant, Position)>,
     arrivals: u64,
 }
 
+#[derive(Debug)]
+struct Entry<T> {
+    expires_at: Instant,
+    item: T,
+}
+
 impl<T> Default for Backlog<T> {
     fn default() -> Backlog<T> {
         Backlog {
             entries: BTreeMap::new(),
+            expiries: BTreeSet::new(),
             arrivals: 0,
         }
     }
 }
 
 impl<T> Backlog<T> {
-    /// Adds a task and returns its position.
-    pub fn push(&mut self, priority: u8, start_by: Instant, item: T) -> Position {
+    /// Adds a task whose start is of no value from `expires_at` on, and returns its
+    /// position.
+    pub fn push(
+        &mut self,
+        priority: u8,
+        start_by: Instant,
+        expires_at: Instant,
+        item: T,
+    ) -> Position {
         self.arrivals += 1;
         let position = Position {
             priority,
             start_by,
             arrival: self.arrivals,
         };
-        self.entries.insert(position, item);
+        self.entries.insert(position, Entry { expires_at, item });
+        self.expiries.insert((expires_at, position));
         position
     }
 
     /// Returns the task at `position`.
     pub fn get_mut(&mut self, position: Position) -> Option<&mut T> {
-        self.entries.get_mut(&position)
+        self.entries.get_mut(&position).map(|it| &mut it.item)
     }
 
     /// Removes the task at `position`.
     pub fn remove(&mut self, position: Position) -> Option<T> {
-        self.entries.remove(&position)
+        let entry = self.entries.remove(&position)?;
+        self.expiries.remove(&(entry.expires_at, position));
+        Some(entry.item)
     }
 
-    /// First [`SCAN_LIMIT`] tasks in scheduling order.
-    pub fn scan(&self) -> impl Iterator<Item = (Position, &T)> {
-        self.entries
-            .iter()
+    /// Removes and returns the tasks that have expired at `now`.
+    pub fn take_expired(&mut self, now: Instant) -> Vec<T> {
+        let expired = self.expiries.iter().take_while(|it| it.0 <= now);
+        let expired: Vec<Position> = expired.map(|it| it.1).collect();
+        expired
+            .into_iter()
+            .filter_map(|it| self.remove(it))
+            .collect()
+    }
+
+    /// First [`SCAN_LIMIT`] tasks in scheduling order at `now`.
+    pub fn scan(&self, now: Instant) -> impl Iterator<Item = (Position, &T)> {
+        let first_of = |priority| {
+            self.entries
+                .range(Position::first(priority, Instant::default())..)
+        };
+        let first = first_of(0).next();
+        let priorities = std::iter::successors(first.map(|it| it.0.priority), move |it| {
+            let next = first_of(it.checked_add(1)?).next()?;
+            Some(next.0.priority)
+        });
+        let of_priority = move |priority| {
+            let is_within = move |(at, _): &(&Position, _)| at.priority == priority;
+            let boundary = Position::first(priority, now);
+            let on_time = self.entries.range(boundary..).take_while(is_within);
+            let late = self.entries.range(..boundary).rev().take_while(is_within);
+            on_time.chain(late)
+        };
+        priorities
+            .flat_map(of_priority)
             .take(SCAN_LIMIT)
-            .map(|(at, it)| (*at, it))
+            .map(|(at, entry)| (*at, &entry.item))
     }
 
-    /// All tasks in scheduling order.
+    /// All tasks by priority and the time at which they should start.
     pub fn iter(&self) -> impl Iterator<Item = (Position, &T)> {
-        self.entries.iter().map(|(at, it)| (*at, it))
+        self.entries.iter().map(|(at, entry)| (*at, &entry.item))
     }
 
     /// Number of waiting tasks.
--- a/crates/fleet/src/scheduler/mod.rs
+++ b/crates/fleet/src/scheduler/mod.rs
@@ -58,6 +58,10 @@
 /// request from a frontend may be in transit.
 const DENY_DURATION: Duration = Duration::from_secs(10);
 
+/// Shortest time for which a task may wait, so that each gets one attempt to start.
+/// The frontend sends a timeout of 0 for a task that it expects to end slightly too late.
+const MIN_START_TIMEOUT: Duration = Duration::from_millis(1);
+
 /// Most targets that are held. A heartbeat has no room for more, and an instance
 /// without heartbeats counts as failed.
 const MAX_HELD_TARGETS: usize = 128;
@@ -251,7 +255,8 @@
             let estimate = Duration::from_millis(request.estimate_ms.into());
             let queued = QueuedRun {
                 queued_at: now,
-                expires_at: now + Duration::from_millis(request.start_timeout_ms.into()),
+                expires_at: now
+                    + Duration::from_millis(request.start_timeout_ms.into()).max(MIN_START_TIMEOUT),
                 reply,
                 request,
             };
@@ -396,25 +401,18 @@
     pub fn tick(&self) {
         let now = clock::now();
         self.0.last_tick.set(now);
-        let expired: Vec<Position> = {
+        let unplaceable: Vec<Position> = {
             let backlog = self.0.backlog.borrow();
-            let is_expired =
-                |it: &QueuedRun| now >= it.expires_at || !self.0.holds_eligible(&it.request);
-            let expired = backlog.iter().filter(|(_, it)| is_expired(it));
-            expired.map(|it| it.0).collect()
+            let is_unplaceable = |it: &QueuedRun| !self.0.holds_eligible(&it.request);
+            let unplaceable = backlog.iter().filter(|(_, it)| is_unplaceable(it));
+            unplaceable.map(|it| it.0).collect()
         };
-        for position in expired {
+        self.0.refuse_expired(now);
+        for position in unplaceable {
             let queued = self.0.backlog.borrow_mut().remove(position);
             if let Some(queued) = queued {
-                let key = (queued.request.task, queued.request.run);
-                self.0.backlog_positions.borrow_mut().remove(&key);
-                let reason = match now >= queued.expires_at {
-                    true => NotStartedReason::StartTimeout,
-                    false => NotStartedReason::OwnerUnavailable,
-                };
-                info!(self.0.log, "task gave up waiting"; "task" => %key.0, "run" => key.1,
-                    "waited_ms" => millis(now - queued.queued_at), "cause" => %reason);
-                let _ = queued.reply.send(RunOutcome::NotStarted(reason));
+                let reason = NotStartedReason::OwnerUnavailable;
+                self.0.refuse_waiting(queued, reason, now);
             }
         }
         let held: Vec<_> = self.0.held_targets.borrow().values().cloned().collect();
@@ -523,7 +521,10 @@
 
     fn enqueue(&self, key: RunKey, start_by: Instant, queued: QueuedRun) {
         let priority = queued.request.priority;
-        let position = self.backlog.borrow_mut().push(priority, start_by, queued);
+        let expires_at = queued.expires_at;
+        let mut backlog = self.backlog.borrow_mut();
+        let position = backlog.push(priority, start_by, expires_at, queued);
+        drop(backlog);
         self.backlog_positions.borrow_mut().insert(key, position);
     }
 
@@ -554,12 +555,33 @@
                 .any(|it| request.eligible_targets.contains(&it.short_id))
     }
 
-    /// Starts all waiting tasks that fit, in the order of the backlog.
+    /// Answers the waiting tasks whose start is of no value any more.
+    fn refuse_expired(&self, now: Instant) {
+        let expired = self.backlog.borrow_mut().take_expired(now);
+        for queued in expired {
+            self.refuse_waiting(queued, NotStartedReason::StartTimeout, now);
+        }
+    }
+
+    /// Answers a task that was removed from the backlog.
+    fn refuse_waiting(&self, queued: QueuedRun, reason: NotStartedReason, now: Instant) {
+        let key = (queued.request.task, queued.request.run);
+        self.backlog_positions.borrow_mut().remove(&key);
+        info!(self.log, "task gave up waiting"; "task" => %key.0, "run" => key.1,
+            "waited_ms" => millis(now - queued.queued_at), "cause" => %reason);
+        // The receiver may have been dropped.
+        let _ = queued.reply.send(RunOutcome::NotStarted(reason));
+    }
+
+    /// Starts all waiting tasks that fit, in the order of the backlog, and answers
+    /// those that have expired.
     ///
     /// A process that was suspended starts nothing before its next tick, because
     /// the frontends of the waiting tasks may have gone.
     fn dispatch(self: &Rc<Self>) {
-        if clock::now() - self.last_tick.get() > STALL_THRESHOLD {
+        let now = clock::now();
+        self.refuse_expired(now);
+        if now - self.last_tick.get() > STALL_THRESHOLD {
             return;
         }
         loop {
@@ -605,7 +627,7 @@
         let now = clock::now();
         let startable = self.startable_targets();
         let free: Vec<_> = startable.iter().map(|it| it.free_resources()).collect();
-        backlog.scan().find_map(|(position, queued)| {
+        backlog.scan(now).find_map(|(position, queued)| {
             let request = &queued.request;
             let goal = position.start_by - now + Duration::from_millis(request.estimate_ms.into());
             let eligible = startable
--- a/crates/fleet/tests/decisions.rs
+++ b/crates/fleet/tests/decisions.rs
@@ -338,14 +338,65 @@
     }
 }
 
-#[test]
-fn backlog_is_ordered_by_priority_then_start_deadline() {
+/// Order of a backlog with tasks of this name, priority and start time, at `now`.
+fn backlog_order(tasks: &[(&'static str, u8, u64)], now: u64) -> Vec<&'static str> {
     let mut backlog = Backlog::default();
-    for (name, priority, start_ms) in [("late", 1, 900), ("soon", 1, 100), ("first", 0, 5_000)] {
-        backlog.push(priority, at(start_ms), name);
+    for &(name, priority, start_ms) in tasks {
+        backlog.push(priority, at(start_ms), at(10_000), name);
+    }
+    backlog.scan(at(now)).map(|it| *it.1).collect()
+}
+
+#[test]
+fn backlog_is_ordered_by_priority_then_slack_then_lateness() {
+    struct Case {
+        what: &'static str,
+        tasks: &'static [(&'static str, u8, u64)],
+        order: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            what: "by priority, then by least slack",
+            tasks: &[("later", 1, 900), ("soon", 1, 500), ("first", 0, 5_000)],
+            order: &["first", "soon", "later"],
+        },
+        Case {
+            what: "a task that can only be late does not delay one that can be in time",
+            tasks: &[("late", 1, 399), ("soon", 1, 400), ("later", 1, 900)],
+            order: &["soon", "later", "late"],
+        },
+        Case {
+            what: "late tasks keep their priority",
+            tasks: &[("lower", 2, 900), ("late", 1, 100), ("last", 255, 10)],
+            order: &["late", "lower", "last"],
+        },
+        Case {
+            what: "the task that became late last comes first",
+            tasks: &[("oldest", 0, 100), ("older", 0, 200), ("old", 0, 300)],
+            order: &["old", "older", "oldest"],
+        },
+        Case {
+            what: "nothing waits",
+            tasks: &[],
+            order: &[],
+        },
+    ];
+    for case in cases {
+        assert_eq!(backlog_order(case.tasks, 400), case.order, "{}", case.what);
     }
-    let order: Vec<_> = backlog.scan().map(|it| *it.1).collect();
-    assert_eq!(order, ["first", "soon", "late"]);
+}
+
+#[test]
+fn tasks_leave_the_backlog_when_they_expire() {
+    let mut backlog = Backlog::default();
+    backlog.push(0, at(0), at(300), "second");
+    backlog.push(1, at(100), at(200), "first");
+    let started = backlog.push(0, at(0), at(100), "started");
+    assert_eq!(backlog.remove(started), Some("started"));
+    assert!(backlog.take_expired(at(199)).is_empty());
+    assert_eq!(backlog.take_expired(at(200)), ["first"]);
+    assert_eq!(backlog.take_expired(at(1_000)), ["second"]);
+    assert!(backlog.is_empty() && backlog.take_expired(at(2_000)).is_empty());
 }
 
 #[test]
--- a/crates/fleet/tests/sessions/main.rs
+++ b/crates/fleet/tests/sessions/main.rs
@@ -8,6 +8,7 @@
 mod random;
 mod spread;
 mod system;
+mod waiting;
 
 use std::time::Duration;
 
--- /dev/null
+++ b/crates/fleet/tests/sessions/waiting.rs
@@ -0,0 +1,54 @@
+//! Tasks that wait for capacity at their owner.
+
+use std::time::Duration;
+
+use bluebellpath_fleet::frontend::{Answer, Submission};
+use bluebellpath_runtime::{clock, runtime};
+
+use crate::system::{JobSpec, SMALL, System, sleep_ms};
+
+/// Job that occupies all targets of [`SMALL`] for `run_ms` milliseconds.
+fn occupant(run_ms: u64) -> JobSpec {
+    JobSpec {
+        job: 1,
+        tasks: 8,
+        cores: 60,
+        run_ms,
+        ..JobSpec::default()
+    }
+}
+
+/// Guards against answers that leave open whether a task has run, and against jobs
+/// that wait until their deadline although their answer has no value any more.
+#[test]
+fn a_job_that_expires_before_any_start_is_refused() {
+    runtime::paused(async {
+        let system = System::start(SMALL).await;
+        system.submit(0, occupant(1_000));
+        sleep_ms(100).await;
+        let submission = Submission {
+            priority: 0,
+            ..JobSpec {
+                job: 2,
+                tasks: 6,
+                run_ms: 50,
+                ..JobSpec::default()
+            }
+            .submission()
+        };
+        // The latency goal is 140 ms, and an answer after three times that is useless.
+        let expiry = Duration::from_millis(3 * 140 - 50);
+        let submitted_at = clock::now();
+        let answer = system.instances[3].node.frontend().submit(submission).await;
+        let took = clock::now() - submitted_at;
+        assert!(matches!(answer, Answer::Refused(_)), "{answer:?}");
+        assert_eq!(system.started_runs(2), 0);
+        assert!(
+            expiry <= took && took <= expiry + Duration::from_millis(60),
+            "{took:?}"
+        );
+        sleep_ms(1_500).await;
+        assert_eq!(system.answer(1), Some(Answer::Completed));
+        system.assert_no_violations();
+    });
+}
