Admit jobs by their expected end

Cause: admission divided the waiting work by all cores of an owner. While every target was busy and nothing waited, the expected wait was 0, and jobs were admitted that ended past their goal and took the capacity of others.

Change: `Load` carries a summary of room: free processor in quarter cores, speed class and the next ends of runs (at most 20; 3 bytes each, 1.5 bytes per target). A frontend plays the waiting work of the same and higher priorities and then all tasks of the job onto the targets. The job is refused if its last task ends past the goal, unless all of its tasks can start at once. Later steps count too. The version bytes of frames and connections rise, as the format of `Load` changes.

--- a/crates/bluebellpath/src/peer/frame.rs
+++ b/crates/bluebellpath/src/peer/frame.rs
@@ -23,7 +23,7 @@
 use super::key::{Key, TAG_BYTES};
 
 /// Protocol version of the frames of this build.
-pub const VERSION: u8 = 4;
+pub const VERSION: u8 = 5;
 
 /// Maximum frame size in bytes, below the smallest usual path MTU.
 pub const MAX_BYTES: usize = 1_200;
--- a/crates/bluebellpath/src/peer/net/wire.rs
+++ b/crates/bluebellpath/src/peer/net/wire.rs
@@ -26,7 +26,7 @@
 };
 
 /// Protocol version of the messages of this build.
-const VERSION: u8 = 4;
+const VERSION: u8 = 5;
 
 /// Size in bytes of the nonce of one side.
 const NONCE_BYTES: usize = 16;
--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -1,14 +1,18 @@
 /*!
 Admission control for jobs, with the delay before a retry.
 
-Under overload of some seconds, a job whose tasks would start too late takes
-capacity from jobs that can still be served in time. It is therefore refused
-when it arrives, before any of its tasks has run. The retry delay tells its
-caller when the work ahead of it should be done.
+Under overload of some seconds, a job whose tasks end too late takes capacity from
+jobs that can still be served in time. It is therefore refused when it arrives,
+before any of its tasks has run. [`expect`] estimates the end of the job from the
+room of all owners; a job whose tasks can all start now is always admitted, because
+refusing it would leave targets idle. The retry delay tells its caller when the work
+ahead of it should be done.
 */
 
 use std::time::Duration;
 
+use crate::room::Forecast;
+
 /// Shortest retry delay.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -16,16 +20,29 @@
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(10);
 
 /// Expected times of a job when it arrives.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Estimate {
-    /// Expected wait until its last task starts.
+    /// Expected wait until its last task that needs no other starts.
     pub wait: Duration,
-    /// Expected run time of its longest task.
-    pub run_time: Duration,
-    /// Time after which its answer is useless.
+    /// Expected time until its last task ends.
+    pub end: Duration,
+    /// Time after which its answer is too late.
     pub time_limit: Duration,
 }
 
+/// Step of a job as admission sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct StepDemand<'a> {
+    /// Number of tasks.
+    pub tasks: u16,
+    /// Processor of each task, in millicores.
+    pub cpu: u32,
+    /// Declared run time of a task.
+    pub run_time: Duration,
+    /// Indexes of the steps that must complete before.
+    pub dependencies: &'a [usize],
+}
+
 /// Decision on a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
@@ -35,11 +52,53 @@
     Refuse(Duration),
 }
 
+/// Expected wait until the last task without dependencies starts, and expected end of
+/// the job. `None` if one of these tasks fits nowhere.
+///
+/// Later steps are expected to start without a wait.
+pub fn expect(steps: &[StepDemand<'_>], owners: &mut [Forecast]) -> Option<(Duration, Duration)> {
+    let mut wait_ms = 0;
+    let mut step_ends = vec![Duration::ZERO; steps.len()];
+    for (number, step) in steps.iter().enumerate() {
+        if !step.dependencies.is_empty() {
+            continue;
+        }
+        for _ in 0..step.tasks {
+            let places = owners.iter().enumerate();
+            let places = places
+                .filter_map(|(owner, it)| Some((owner, it.earliest_end(step.cpu, step.run_time)?)));
+            let (owner, place) = places.min_by_key(|it| (it.1.end_ms, it.1.leftover))?;
+            owners[owner].place(place, step.cpu);
+            wait_ms = wait_ms.max(place.start_ms);
+            step_ends[number] = step_ends[number].max(Duration::from_millis(place.end_ms));
+        }
+    }
+    // A path through the steps has at most as many of them as there are.
+    for _ in steps {
+        let before = step_ends.clone();
+        for (number, step) in steps.iter().enumerate() {
+            let ready = step
+                .dependencies
+                .iter()
+                .filter_map(|it| before.get(*it))
+                .max();
+            if let Some(ready) = ready {
+                step_ends[number] = *ready + step.run_time;
+            }
+        }
+        if before == step_ends {
+            break;
+        }
+    }
+    let end = step_ends.into_iter().max().unwrap_or_default();
+    Some((Duration::from_millis(wait_ms), end))
+}
+
 /// Decides whether to admit a job.
 pub fn decide(estimate: Estimate) -> Decision {
-    if estimate.wait + estimate.run_time <= estimate.time_limit {
+    if estimate.wait.is_zero() || estimate.end <= estimate.time_limit {
         return Decision::Admit;
     }
-    let excess = (estimate.wait + estimate.run_time).saturating_sub(estimate.time_limit);
+    let excess = estimate.end.saturating_sub(estimate.time_limit);
     Decision::Refuse(excess.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY))
 }
--- a/crates/fleet/src/frontend/mod.rs
+++ b/crates/fleet/src/frontend/mod.rs
@@ -33,11 +33,12 @@
 
 use crate::{
     InjectedFault, JobId, Resources, Target, TaskId,
-    admission::{self, Decision, Estimate},
+    admission::{self, Decision, Estimate, StepDemand},
     crash_history::{CrashHistory, LossReport, Verdict},
     membership::{CallError, Membership, Peer, Reply, Request, Transport},
     messages::{ClockReading, NotStartedReason, RunOutcome, RunRequest},
     owner_selection::{self, Demand, Distance, Owner},
+    room::Forecast,
     scheduler::{DropPolicy, Scheduler},
     target_list::TargetList,
 };
@@ -72,9 +73,6 @@
 /// Number of runs that one task may use.
 const MAX_RUNS_PER_TASK: u32 = 64;
 
-/// Millicores per core.
-const MILLICORES: u32 = 1_000;
-
 /// Identity and timing of a frontend.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -381,27 +379,32 @@
     }
 
     fn admit(&self, submission: &Submission) -> Decision {
-        let mut owners = self.owner_candidates().0;
-        let mut wait = Duration::ZERO;
-        let mut run_time = Duration::ZERO;
-        for step in submission
-            .steps
+        let owners = self.owner_candidates().0;
+        let steps: Vec<StepDemand<'_>> = (submission.steps.iter())
+            .map(|it| StepDemand {
+                tasks: it.task_count,
+                cpu: it.resources.cpu,
+                run_time: it.estimate,
+                dependencies: &it.dependencies,
+            })
+            .collect();
+        let cpu = steps.iter().map(|it| it.cpu).max().unwrap_or_default();
+        let usable = owners.iter().filter(|it| it.reachable);
+        let mut forecasts: Vec<Forecast> = usable
+            .map(|it| Forecast::new(&it.load, it.load_age, submission.priority, cpu))
+            .collect();
+        let run_time = steps.iter().map(|it| it.run_time).max().unwrap_or_default();
+        let expected = admission::expect(&steps, &mut forecasts);
+        // Without room anywhere the job waits for it, until its deadline. Targets that
+        // are all blocked may still be used.
+        let any_cores = owners
             .iter()
-            .filter(|it| it.dependencies.is_empty())
-        {
-            run_time = run_time.max(step.estimate);
-            for _ in 0..step.task_count {
-                let demand = Demand {
-                    cores: cores(step.resources),
-                    run_time: step.estimate,
-                    priority: submission.priority,
-                };
-                let chosen = owner_selection::choose(demand, &mut owners);
-                // Without any owner the job waits for one, until its deadline.
-                let (_, expected) = chosen.unwrap_or((0, submission.deadline));
-                wait = wait.max(expected);
-            }
-        }
+            .any(|it| it.reachable && it.load.total_cores > 0);
+        let unknown = match any_cores {
+            true => (Duration::ZERO, run_time),
+            false => (submission.deadline, submission.deadline + run_time),
+        };
+        let (wait, end) = expected.unwrap_or(unknown);
         let useful_time = submission.latency_goal * ADMISSION_GOAL_PERCENT / 100;
         let mut time_limit = useful_time.min(submission.deadline);
         if let Some(at) = self.answer_by.get() {
@@ -409,13 +412,13 @@
         }
         let estimate = Estimate {
             wait,
-            run_time,
+            end,
             time_limit,
         };
         let decision = admission::decide(estimate);
         if let Decision::Refuse(retry) = decision {
             info!(self.log, "job refused at its arrival"; "job" => %submission.job,
-                "wait_ms" => millis(wait), "run_ms" => millis(run_time), "limit_ms" => millis(time_limit),
+                "wait_ms" => millis(wait), "end_ms" => millis(end), "limit_ms" => millis(time_limit),
                 "owners" => owners.len(), "oldest_load_ms" => millis(self.membership.oldest_load_age()),
                 "retry_ms" => millis(retry));
         }
@@ -714,7 +717,7 @@
     fn choose_owner(&self, run_request: &RunRequest) -> Option<SocketAddr> {
         let (mut owners, addresses) = self.owner_candidates();
         let demand = Demand {
-            cores: cores(run_request.resources),
+            cpu: run_request.resources.cpu,
             run_time: Duration::from_millis(run_request.estimate_ms.into()),
             priority: run_request.priority,
         };
@@ -722,7 +725,7 @@
         let address = addresses[index];
         if address != self.config.address {
             self.membership
-                .update_load(address, owners[index].load.clone());
+                .extend_load(address, owners[index].load.clone());
         }
         Some(address)
     }
@@ -736,6 +739,7 @@
         let mut owners = vec![Owner {
             distance: Distance::Local,
             load: Rc::new(self.scheduler.load()),
+            load_age: Duration::ZERO,
             reachable: true,
         }];
         let mut addresses = vec![self.config.address];
@@ -747,6 +751,7 @@
                     false => Distance::OtherDomain,
                 },
                 load: peer.load,
+                load_age: now - peer.load_at,
                 reachable: !heartbeat.leaving && !failing_peers.contains_key(&heartbeat.address),
             });
             addresses.push(heartbeat.address);
@@ -815,10 +820,6 @@
     }
 }
 
-fn cores(resources: Resources) -> u16 {
-    u16::try_from(resources.cpu.div_ceil(MILLICORES)).unwrap_or(u16::MAX)
-}
-
 fn millis_u32(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,8 +18,8 @@
 * [`target_list`], [`config`]: the listed targets, and the queues in force.
 * [`crash_history`]: the tasks that were running on targets which were lost.
 * [`membership`]: the other instances, their load and whether they are alive.
-* [`owner_selection`], [`backlog`], [`placement`], [`forecast`], [`admission`], [`run_time`],
-  [`circuit_breaker`], [`read_schedule`]: decisions without I/O.
+* [`owner_selection`], [`backlog`], [`placement`], [`forecast`], [`room`], [`admission`],
+  [`run_time`], [`circuit_breaker`], [`read_schedule`]: decisions without I/O.
 
 This crate does no I/O of its own: it reaches targets through
 [`target_client::TargetClient`], instances through [`membership::Transport`] and the
@@ -34,6 +34,7 @@
 pub mod identity;
 pub mod table_watch;
 pub mod forecast;
+pub mod room;
 pub mod owner_selection;
 pub mod frontend;
 pub mod scheduler;
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -169,6 +169,8 @@
     pub heartbeat: Rc<Heartbeat>,
     /// Load of its targets as last known.
     pub load: Rc<Load>,
+    /// When the load arrived.
+    pub load_at: Instant,
     /// When the last heartbeat arrived.
     pub received_at: Instant,
     candidate: Candidate,
@@ -326,6 +328,7 @@
             heartbeat: Rc::new(heartbeat),
             load,
             candidate,
+            load_at: clock::now(),
             received_at: clock::now(),
             alive: true,
         };
@@ -474,6 +477,16 @@
             .find(|it| it.heartbeat.address == address);
         if let Some(peer) = peer {
             peer.load = load;
+            peer.load_at = clock::now();
+        }
+    }
+
+    /// Adds work that is about to be sent to the peer at `address` to its load.
+    pub fn extend_load(&self, address: SocketAddr, load: Rc<Load>) {
+        let mut peers = self.peers.borrow_mut();
+        let mut peers = peers.values_mut();
+        if let Some(peer) = peers.find(|it| it.heartbeat.address == address) {
+            peer.load = load;
         }
     }
 
--- a/crates/fleet/src/messages.rs
+++ b/crates/fleet/src/messages.rs
@@ -6,7 +6,7 @@
 use bluebellpath_runtime::clock;
 use serde::{Deserialize, Serialize};
 
-use crate::{Resources, TaskId, crash_history::Loss};
+use crate::{Resources, TaskId, crash_history::Loss, room::Room};
 
 /// Reading of the clocks of an instance.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -134,30 +134,49 @@
     OwnerUnavailable,
 }
 
+/// Load of the targets that an instance owns.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Room on the owned targets that accept work from other instances.
+    pub room: Room,
+    /// Total cores of all owned targets that accept work.
+    pub total_cores: u32,
+    /// Waiting work by priority.
+    pub backlog: Vec<Waiting>,
+}
+
+/// Waiting tasks of one priority.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Waiting {
+    /// Priority; 0 is the highest.
+    pub priority: u8,
+    /// Number of tasks.
+    pub tasks: u16,
+    /// Work in core-milliseconds.
+    pub core_ms: u32,
+}
+
 impl Load {
     /// Waiting work with the same or a higher priority than `priority`, in
     /// core-milliseconds.
     pub fn backlog_ahead_of(&self, priority: u8) -> u64 {
-        let entries = self.backlog.iter().filter(|it| it.0 <= priority);
-        entries.map(|it| it.1).sum()
+        let entries = self.backlog.iter().filter(|it| it.priority <= priority);
+        entries.map(|it| u64::from(it.core_ms)).sum()
     }
 
-    /// Adds waiting work of `priority`, in core-milliseconds.
+    /// Adds a waiting task of `priority` with its work in core-milliseconds.
     pub fn add_backlog(&mut self, priority: u8, core_ms: u64) {
-        match self.backlog.iter_mut().find(|it| it.0 == priority) {
-            Some(entry) => entry.1 = entry.1.saturating_add(core_ms),
-            None => self.backlog.push((priority, core_ms)),
-        }
+        let core_ms = u32::try_from(core_ms).unwrap_or(u32::MAX);
+        let known = self.backlog.iter().position(|it| it.priority == priority);
+        let index = known.unwrap_or_else(|| {
+            self.backlog.push(Waiting {
+                priority,
+                ..Waiting::default()
+            });
+            self.backlog.len() - 1
+        });
+        let entry = &mut self.backlog[index];
+        entry.tasks = entry.tasks.saturating_add(1);
+        entry.core_ms = entry.core_ms.saturating_add(core_ms);
     }
 }
-
-/// Load of the targets that an instance owns.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Load {
-    /// Free cores of each owned target that accepts work from other instances.
-    pub free_cores: Vec<u16>,
-    /// Total cores of all owned targets that accept work.
-    pub total_cores: u32,
-    /// Waiting work by priority, in core-milliseconds.
-    pub backlog: Vec<(u8, u64)>,
-}
--- a/crates/fleet/src/owner_selection.rs
+++ b/crates/fleet/src/owner_selection.rs
@@ -13,6 +13,8 @@
 
 use crate::messages::Load;
 
+const MILLICORES: u64 = 1_000;
+
 /// Distance to an owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Distance {
@@ -31,6 +33,8 @@
     pub distance: Distance,
     /// Load.
     pub load: Rc<Load>,
+    /// Age of the load.
+    pub load_age: Duration,
     /// False while calls to it fail.
     pub reachable: bool,
 }
@@ -38,8 +42,8 @@
 /// Requirements of a task.
 #[derive(Clone, Copy, Debug)]
 pub struct Demand {
-    /// Processor, in cores.
-    pub cores: u16,
+    /// Processor, in millicores.
+    pub cpu: u32,
     /// Expected run time.
     pub run_time: Duration,
     /// Priority, 0 is the highest.
@@ -52,24 +56,17 @@
     let usable = |it: &Owner| it.reachable && it.load.total_cores > 0;
     let with_free_cores = owners.iter().enumerate().filter(|(_, it)| usable(it));
     let with_free_cores = with_free_cores.filter_map(|(index, it)| {
-        let matching_targets = it
-            .load
-            .free_cores
-            .iter()
-            .filter(|it| **it >= demand.cores)
-            .count();
+        let room = &it.load.room;
+        let matching_targets = room.fitting_now(demand.cpu).count();
         let is_free = matching_targets > 0 && it.load.backlog_ahead_of(demand.priority) == 0;
         is_free.then_some((index, it.distance, matching_targets))
     });
     let best = with_free_cores.min_by_key(|it| (it.1, std::cmp::Reverse(it.2)));
     if let Some((index, ..)) = best {
-        let all_free_cores = &mut Rc::make_mut(&mut owners[index].load).free_cores;
-        let tightest = all_free_cores
-            .iter_mut()
-            .filter(|it| **it >= demand.cores)
-            .min();
-        if let Some(free_cores) = tightest {
-            *free_cores -= demand.cores;
+        let room = &mut Rc::make_mut(&mut owners[index].load).room;
+        let tightest = room.fitting_now(demand.cpu).min_by_key(|it| it.1);
+        if let Some((target, _)) = tightest {
+            room.occupy(target, demand.cpu, demand.run_time);
         }
         return Some((index, Duration::ZERO));
     }
@@ -79,8 +76,8 @@
     let (index, wait) = usable_owners
         .map(|(index, it)| (index, backlog(it)))
         .min_by_key(|(index, wait)| (*wait, owners[*index].distance))?;
-    let work =
-        u64::from(demand.cores) * u64::try_from(demand.run_time.as_millis()).unwrap_or(u64::MAX);
+    let run_ms = u64::try_from(demand.run_time.as_millis()).unwrap_or(u64::MAX);
+    let work = u64::from(demand.cpu).saturating_mul(run_ms) / MILLICORES;
     Rc::make_mut(&mut owners[index].load).add_backlog(demand.priority, work);
     Some((index, Duration::from_millis(wait)))
 }
--- a/crates/fleet/src/run_time.rs
+++ b/crates/fleet/src/run_time.rs
@@ -41,6 +41,11 @@
 
     /// Estimated run time of a task with declared run time `declared`.
     pub fn estimate(&self, declared: Duration) -> Duration {
-        declared.mul_f64(self.mean_log_ratio.exp())
+        declared.mul_f64(self.ratio())
+    }
+
+    /// Expected ratio of actual to declared run time.
+    pub fn ratio(&self) -> f64 {
+        self.mean_log_ratio.exp()
     }
 }
--- a/crates/fleet/src/scheduler/mod.rs
+++ b/crates/fleet/src/scheduler/mod.rs
@@ -39,6 +39,7 @@
     identity::Identity,
     messages::{Load, NotStartedReason, RunOutcome, RunRequest},
     placement::{self, Candidate},
+    room::{Room, TargetRoom},
     target_client::{ExitStatus, TargetClient},
 };
 
@@ -338,6 +339,7 @@
     /// Load to report to the other instances.
     pub fn load(&self) -> Load {
         let mut load = Load::default();
+        let mut targets = Vec::new();
         let now = clock::now();
         for held in self.0.startable_targets() {
             load.total_cores += held.target.borrow().capacity.cpu / MILLICORES_PER_CORE;
@@ -346,10 +348,9 @@
             if held.is_blocked(now) {
                 continue;
             }
-            let free = held.free_resources().cpu / MILLICORES_PER_CORE;
-            load.free_cores
-                .push(u16::try_from(free).unwrap_or(u16::MAX));
+            targets.push(self.0.target_room(&held, now));
         }
+        load.room = Room::summarize(&targets);
         let backlog = self.0.backlog.borrow();
         for (position, queued) in backlog.iter() {
             load.add_backlog(position.priority, work_core_ms(&queued.request));
@@ -626,6 +627,45 @@
         })
     }
 
+    /// Room on a target as it is reported to frontends.
+    fn target_room(&self, held: &HeldTarget, now: Instant) -> TargetRoom {
+        let (target, state) = (held.target.borrow(), held.state.borrow());
+        let free = held.free_resources().cpu;
+        let is_known = |it: &Run| it.request.as_ref().is_some_and(|it| !it.exclusive);
+        let end_of = |it: &Run| {
+            let expected = it
+                .request
+                .as_ref()
+                .map(|request| self.estimate_run_time(&target, &state, request));
+            let expected = expected.unwrap_or(self.config.claim_timeout);
+            (it.started_at + expected) - now
+        };
+        let ends = match state.runs.values().all(is_known) {
+            true => {
+                let runs = state.runs.values();
+                let ends =
+                    runs.filter_map(|it| Some((it.request.as_ref()?.resources.cpu, end_of(it))));
+                ends.collect()
+            }
+            // Nothing else starts before all runs have ended.
+            false => {
+                let last_end = state.runs.values().map(end_of).max();
+                vec![(target.capacity.cpu, last_end.unwrap_or_default())]
+            }
+        };
+        // The first run after failures shows whether the target works again; other
+        // targets come first.
+        let run_time_ratio = match state.circuit_breaker.is_closed() {
+            true => state.estimator.ratio(),
+            false => f64::MAX,
+        };
+        TargetRoom {
+            free,
+            run_time_ratio,
+            ends,
+        }
+    }
+
     fn estimate_run_time(
         &self,
         target: &Target,
--- a/crates/fleet/tests/decisions.rs
+++ b/crates/fleet/tests/decisions.rs
@@ -9,17 +9,18 @@
 
 use bluebellpath_fleet::{
     JobId, Resources, Target, TaskId,
-    admission::{self, Decision, Estimate},
+    admission::{self, Decision, Estimate, StepDemand},
     backlog::Backlog,
     circuit_breaker::CircuitBreaker,
     crash_history::{CrashHistory, Fate, Loss, LossReport, Verdict},
     fencing::{self, TokenSource},
     identity::{Claim, Claimed, Identity, StoredIdentity},
-    messages::Load,
+    messages::{Load, Waiting},
     owner_selection::{self, Demand, Distance, Owner},
     ownership::{Assignment, Candidate},
     placement,
     read_schedule::Schedule,
+    room::{Forecast, Room, TargetRoom},
     run_time::Estimator,
     target_list::TargetList,
 };
@@ -409,19 +410,34 @@
     }
 }
 
+/// Room of targets with these free cores and no runs.
+fn room(free_cores: &[u32]) -> Room {
+    let targets = free_cores.iter().map(|it| TargetRoom {
+        free: it * 1_000,
+        run_time_ratio: 1.0,
+        ends: Vec::new(),
+    });
+    Room::summarize(&targets.collect::<Vec<_>>())
+}
+
 #[test]
 fn owners_are_chosen_by_free_cores_then_shortest_backlog() {
-    let owner = |distance, free_cores: &[u16], queued_work: u64| Owner {
+    let owner = |distance, free_cores: &[u32], core_ms: u32| Owner {
         distance,
         load: Rc::new(Load {
-            free_cores: free_cores.to_vec(),
+            room: room(free_cores),
             total_cores: 640,
-            backlog: vec![(1, queued_work)],
+            backlog: vec![Waiting {
+                priority: 1,
+                tasks: 8,
+                core_ms,
+            }],
         }),
+        load_age: ms(0),
         reachable: true,
     };
     let demand = Demand {
-        cores: 27,
+        cpu: 27_000,
         run_time: ms(200),
         priority: 1,
     };
@@ -458,18 +474,19 @@
 fn a_burst_over_two_owners_is_spread_evenly() {
     // One frontend places all tasks of a burst before any load is updated.
     let load = Load {
-        free_cores: vec![64; 6],
+        room: room(&[64; 6]),
         total_cores: 384,
         backlog: Vec::new(),
     };
     let owner = |distance| Owner {
         distance,
         load: load.clone().into(),
+        load_age: ms(0),
         reachable: true,
     };
     let mut owners = [owner(Distance::Local), owner(Distance::SameDomain)];
     let demand = Demand {
-        cores: 27,
+        cpu: 27_000,
         run_time: ms(200),
         priority: 1,
     };
@@ -481,6 +498,8 @@
     assert_eq!(counts, [62, 62]);
 }
 
+/// Guards against jobs that are admitted although every target is busy beyond their
+/// goal, and against refusals while the targets are free.
 #[test]
 fn jobs_are_admitted_only_if_they_can_end_in_time() {
     struct Case {
@@ -520,17 +539,191 @@
             limit_ms: 1,
             decision: Decision::Refuse(ms(10_000)),
         },
+        Case {
+            wait_ms: 0,
+            run_ms: 600,
+            limit_ms: 380,
+            decision: Decision::Admit,
+        },
     ];
     for case in cases {
         let estimate = Estimate {
             wait: ms(case.wait_ms),
-            run_time: ms(case.run_ms),
+            end: ms(case.wait_ms + case.run_ms),
             time_limit: ms(case.limit_ms),
         };
         assert_eq!(admission::decide(estimate), case.decision, "{estimate:?}");
     }
 }
 
+/// Guards against an expected wait of 0 while every target is busy, against perfect
+/// packing, and against an estimate for the first task of a job only.
+#[test]
+fn the_expected_end_of_a_job_counts_running_and_waiting_work() {
+    /// Free cores, ratio of run times, and cores and ends of the runs.
+    type TargetCase = (u32, f64, &'static [(u32, u64)]);
+
+    struct Case {
+        name: &'static str,
+        targets: &'static [TargetCase],
+        /// Priority, number and core-milliseconds of waiting tasks.
+        backlog: &'static [(u8, u16, u32)],
+        age_ms: u64,
+        tasks: u16,
+        /// Wait and end of a job of priority 1 with tasks of 16 cores and 100 ms.
+        expected: Option<(u64, u64)>,
+    }
+    const CASES: [Case; 11] = [
+        Case {
+            name: "a free target",
+            targets: &[(32, 1.0, &[])],
+            backlog: &[],
+            age_ms: 0,
+            tasks: 2,
+            expected: Some((0, 100)),
+        },
+        Case {
+            name: "the third task waits for the first",
+            targets: &[(32, 1.0, &[])],
+            backlog: &[],
+            age_ms: 0,
+            tasks: 3,
+            expected: Some((100, 200)),
+        },
+        Case {
+            name: "every target is busy and nothing waits",
+            targets: &[(0, 1.0, &[(32, 80)]), (15, 1.0, &[(17, 160)])],
+            backlog: &[],
+            age_ms: 0,
+            tasks: 1,
+            expected: Some((80, 180)),
+        },
+        Case {
+            name: "cores that are free but too few are of no use",
+            targets: &[(15, 1.0, &[(17, 160)]), (15, 1.0, &[(17, 160)])],
+            backlog: &[],
+            age_ms: 0,
+            tasks: 1,
+            expected: Some((160, 260)),
+        },
+        Case {
+            name: "tasks of a higher priority go first",
+            targets: &[(0, 1.0, &[(17, 80), (15, 160)])],
+            backlog: &[(0, 1, 3_200)],
+            age_ms: 0,
+            tasks: 1,
+            expected: Some((160, 260)),
+        },
+        Case {
+            name: "tasks of a lower priority don't",
+            targets: &[(0, 1.0, &[(17, 80), (15, 160)])],
+            backlog: &[(2, 9, 90_000)],
+            age_ms: 0,
+            tasks: 1,
+            expected: Some((80, 180)),
+        },
+        Case {
+            name: "a summary ages",
+            targets: &[(0, 1.0, &[(32, 80)])],
+            backlog: &[],
+            age_ms: 40,
+            tasks: 1,
+            expected: Some((40, 140)),
+        },
+        Case {
+            name: "a run past its expected end has not ended",
+            targets: &[(0, 1.0, &[(32, 80)])],
+            backlog: &[],
+            age_ms: 90,
+            tasks: 1,
+            expected: Some((20, 120)),
+        },
+        Case {
+            name: "a fast target that is free later ends the task first",
+            targets: &[(16, 2.0, &[]), (0, 0.5, &[(16, 80)])],
+            backlog: &[],
+            age_ms: 0,
+            tasks: 1,
+            expected: Some((80, 130)),
+        },
+        Case {
+            name: "a slow target that is free now ends the task first",
+            targets: &[(16, 1.0, &[]), (0, 0.5, &[(16, 80)])],
+            backlog: &[],
+            age_ms: 0,
+            tasks: 1,
+            expected: Some((0, 100)),
+        },
+        Case {
+            name: "too small targets",
+            targets: &[(8, 1.0, &[]), (4, 1.0, &[(4, 80)])],
+            backlog: &[],
+            age_ms: 0,
+            tasks: 1,
+            expected: None,
+        },
+    ];
+    for case in CASES {
+        let targets = case.targets.iter().map(|it| TargetRoom {
+            free: it.0 * 1_000,
+            run_time_ratio: it.1,
+            ends: it.2.iter().map(|it| (it.0 * 1_000, ms(it.1))).collect(),
+        });
+        let backlog = case.backlog.iter().map(|it| Waiting {
+            priority: it.0,
+            tasks: it.1,
+            core_ms: it.2,
+        });
+        let load = Load {
+            room: Room::summarize(&targets.collect::<Vec<_>>()),
+            total_cores: 64,
+            backlog: backlog.collect(),
+        };
+        let mut forecasts = [Forecast::new(&load, ms(case.age_ms), 1, 16_000)];
+        let step = StepDemand {
+            tasks: case.tasks,
+            cpu: 16_000,
+            run_time: ms(100),
+            dependencies: &[],
+        };
+        let later_step = StepDemand {
+            run_time: ms(30),
+            dependencies: &[0],
+            ..step
+        };
+        let expected = admission::expect(&[step], &mut forecasts.clone());
+        let case_expected = case.expected.map(|it| (ms(it.0), ms(it.1)));
+        assert_eq!(expected, case_expected, "{}", case.name);
+        let expected = admission::expect(&[step, later_step], &mut forecasts);
+        let case_expected = case_expected.map(|it| (it.0, it.1 + ms(30)));
+        assert_eq!(expected, case_expected, "{}, with a later step", case.name);
+    }
+}
+
+/// Guards against a forecast without any end of a run where the summary has no room
+/// for all of them.
+#[test]
+fn a_summary_of_many_targets_is_bounded_and_still_names_a_wait() {
+    let target = TargetRoom {
+        free: 1_000,
+        run_time_ratio: 1.0,
+        ends: vec![(16_000, ms(400)), (15_000, ms(240))],
+    };
+    let room = Room::summarize(&vec![target; 128]);
+    assert!(room.openings.len() <= 20, "{}", room.openings.len());
+    assert_eq!(room.speed_classes.len(), 64);
+    let load = Load {
+        room,
+        total_cores: 4_096,
+        backlog: Vec::new(),
+    };
+    let forecast = Forecast::new(&load, ms(0), 0, 16_000);
+    let expected = forecast.earliest_end(16_000, ms(100)).expect("room later");
+    assert_eq!(expected.start_ms, 240);
+    let expected = forecast.earliest_end(20_000, ms(100)).expect("room later");
+    assert!((240..=400).contains(&expected.start_ms), "{expected:?}");
+}
+
 #[test]
 fn consecutive_failures_open_the_circuit_breaker_for_longer() {
     let mut breaker = CircuitBreaker::default();
