Keep the evacuated failure domains by the version of the table

Cause: an operator's evacuation is not stored. Reads and heartbeats arrive in any order, some from stale views.

Change: a module without I/O: the set of evacuated domains with the table version at which it was read, rules for full reads, changes and sets of peers, and the return of a domain's targets in steps. Two injected faults for its tests. Nothing uses it yet.

--- a/crates/fleet/src/injected_fault.rs
+++ b/crates/fleet/src/injected_fault.rs
@@ -21,4 +21,8 @@
     IgnoreCrashes,
     /// An older configuration replaces a newer one.
     AcceptOlderConfig,
+    /// Tasks are started on targets of evacuated domains.
+    IgnoreEvacuations,
+    /// An older set of evacuated domains replaces a newer one.
+    AcceptOlderEvacuations,
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 * [`node`]: one instance, assembled from these.
 * [`table_watch`]: watches on the platform's tables.
 * [`target_list`], [`config`]: the listed targets, and the queues in force.
+* [`evacuation`]: the failure domains in which nothing may start.
 * [`crash_history`]: the tasks that were running on targets which were lost.
 * [`membership`]: the other instances, their load and whether they are alive.
 * [`owner_selection`], [`backlog`], [`placement`], [`forecast`], [`admission`], [`run_time`],
@@ -27,6 +28,7 @@
 */
 
 pub mod admission;
+pub mod evacuation;
 pub mod target_list;
 pub mod config;
 pub mod crash_history;
