Start nothing in an evacuated failure domain

Cause: rows evacuate/ZONE of the table op were received with the configuration and ignored.

Change: rows of op decode to the configuration or to an evacuation; the reader of the configuration applies both, heartbeats carry the set, and an instance confirms its configuration only at a table version at which it knows the set. Owners start nothing on evacuated targets, report no capacity for them and give waiting tasks back at once; frontends choose no owner that has only such targets. A process without a set starts nothing.

--- a/crates/fleet/src/frontend/mod.rs
+++ b/crates/fleet/src/frontend/mod.rs
@@ -727,6 +727,20 @@
         Some(address)
     }
 
+    /// Whether all of these targets are known to be evacuated.
+    fn is_evacuated(&self, short_ids: &[u32], now: Instant) -> bool {
+        let evacuations = self.scheduler.evacuations();
+        if evacuations.is_empty() || short_ids.is_empty() {
+            return false;
+        }
+        let target_list = self.target_list.borrow();
+        let is_evacuated = |short_id: &u32| {
+            let target = target_list.find(*short_id);
+            target.is_some_and(|it| !evacuations.allows(&it.domain, *short_id, now))
+        };
+        short_ids.iter().all(is_evacuated)
+    }
+
     fn owner_candidates(&self) -> (Vec<Owner>, Vec<SocketAddr>) {
         let now = clock::now();
         self.failing_peers
@@ -747,7 +761,9 @@
                     false => Distance::OtherDomain,
                 },
                 load: peer.load,
-                reachable: !heartbeat.leaving && !failing_peers.contains_key(&heartbeat.address),
+                reachable: !heartbeat.leaving
+                    && !failing_peers.contains_key(&heartbeat.address)
+                    && !self.is_evacuated(&heartbeat.target_short_ids, now),
             });
             addresses.push(heartbeat.address);
         }
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -25,6 +25,7 @@
     JobId, TaskId,
     config::Observation,
     crash_history::LossReport,
+    evacuation::Evacuations,
     identity::Identity,
     messages::{ClockReading, Load, RunOutcome, RunRequest},
     ownership::{Assignment, Candidate},
@@ -68,6 +69,8 @@
     pub target_short_ids: Vec<u32>,
     /// Newest configuration that it knows.
     pub newest_config: Observation,
+    /// Evacuated domains that it knows.
+    pub evacuations: Evacuations,
     /// Number of heartbeat intervals in which each peer of another domain gets one
     /// heartbeat.
     pub remote_period: u16,
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -24,13 +24,14 @@
     InjectedFault, Target,
     config::{Config as QueueConfig, Observation},
     crash_history::{CrashHistory, LossReport},
+    evacuation::{Difference, EvacuationState, MissingChanges, RowPage, domain_id},
     frontend::{self, Frontend},
     identity::Identity,
     membership::{self, Change, Heartbeat, Membership, Peer, Reply, Request, Transport},
     messages::{ClockReading, NotStartedReason, RunOutcome, RunRequest},
     ownership::Candidate,
     scheduler::{self, DropPolicy, Scheduler},
-    table_watch::{ConfigDocument, ConfigTiming, Page},
+    table_watch::{ConfigTiming, OperatorRow, Page, Query},
     target_client::TargetClient,
     target_list::{Delta, TargetList},
 };
@@ -105,6 +106,7 @@
     log: Logger,
     target_list: Rc<RefCell<TargetList>>,
     queue_config: RefCell<Rc<QueueConfig>>,
+    evacuations: Rc<RefCell<EvacuationState>>,
     /// Newest version of the platform's tables at which the configuration in
     /// force was still current, and when this instance learned that.
     config_confirmed: Cell<(u64, Option<Instant>)>,
@@ -134,7 +136,13 @@
             injected_fault: config.injected_fault,
             ..config.scheduler
         };
-        let scheduler = Scheduler::new(scheduler_config, orders, log.clone());
+        let evacuations = Rc::new(RefCell::new(EvacuationState::new(config.injected_fault)));
+        let scheduler = Scheduler::new(
+            scheduler_config,
+            orders,
+            Rc::clone(&evacuations),
+            log.clone(),
+        );
         let membership = Rc::new(Membership::new(
             config.name.clone(),
             config.domain.clone(),
@@ -174,6 +182,7 @@
             log,
             target_list,
             queue_config: RefCell::default(),
+            evacuations,
             config_confirmed: Cell::default(),
             newer_config: Notify::new(),
             heartbeat_sequence: Cell::new(0),
@@ -280,24 +289,100 @@
         }
     }
 
-    /// Applies what the platform returned for the configuration.
-    pub fn apply_config_page(&self, page: &Page<ConfigDocument>) {
-        let mut rows = page.rows.iter();
-        let readable = rows.all(|it| self.apply_document(it, page.version, "store"));
-        if readable {
+    /// Returns the version of the platform's tables up to which all rows of the
+    /// operator's table are known.
+    pub fn operator_table_version(&self) -> u64 {
+        let config_version = self.config_observation().table_version;
+        config_version.min(self.evacuations.borrow().version())
+    }
+
+    /// Returns the number of evacuated domains.
+    pub fn evacuated_domains(&self) -> usize {
+        self.evacuations.borrow().len()
+    }
+
+    /// Applies what the platform returned to `query` for the operator's table. Fails
+    /// if changes before the page are missing.
+    pub fn apply_operator_page(
+        &self,
+        query: Query,
+        page: Page<OperatorRow>,
+    ) -> Result<(), MissingChanges> {
+        let mut documents = Vec::new();
+        let mut rows = Vec::new();
+        for row in page.rows {
+            match row {
+                OperatorRow::Config(document) => documents.push(document),
+                OperatorRow::Evacuation(row) => rows.push(row),
+            }
+        }
+        let after = match query {
+            Query::All => None,
+            Query::Changes { after, .. } => Some(after),
+        };
+        let row_page = RowPage {
+            after,
+            version: page.version,
+            rows,
+        };
+        let applied = self.evacuations.borrow_mut().apply(&row_page, clock::now());
+        if let Ok(difference) = &applied {
+            self.handle_evacuations(difference, "store");
+        }
+        let mut documents = documents.iter();
+        if documents.all(|it| self.apply_document(it, page.version, "store")) {
             self.confirm_config(page.version);
         }
+        applied.map(drop)
+    }
+
+    /// Enforces a newer set of evacuated domains and informs the peers.
+    fn handle_evacuations(&self, difference: &Difference, source: &str) {
+        if difference.is_empty() {
+            return;
+        }
+        let version = self.evacuations.borrow().version();
+        for (domains, state) in [
+            (&difference.evacuated, "evacuated"),
+            (&difference.cancelled, "evacuation cancelled"),
+        ] {
+            for domain in domains {
+                let target_list = self.target_list.borrow();
+                let targets = target_list.targets().values();
+                let listed: Vec<_> = targets
+                    .filter(|it| domain_id(&it.domain) == *domain)
+                    .collect();
+                let name = listed
+                    .first()
+                    .map_or("without listed targets", |it| &*it.domain);
+                info!(self.log, "failure domain"; "domain" => name, "state" => state,
+                    "id" => domain, "targets" => listed.len(), "version" => version,
+                    "source" => source);
+            }
+        }
+        self.scheduler.apply_evacuations();
+        if difference.changes_domains() {
+            self.heartbeats_due.set(true);
+        }
     }
 
     /// Records that the configuration in force is current at this version of the
-    /// platform's tables.
+    /// platform's tables. An instance whose set of evacuated domains is older reads
+    /// the table by itself.
     fn confirm_config(&self, table_version: u64) {
+        let table_version = table_version.min(self.evacuations.borrow().version());
         if table_version > self.config_confirmed.get().0 {
             self.config_confirmed
                 .set((table_version, Some(clock::now())));
         }
     }
 
+    fn log_ended_returns(&self) {
+        for domain in self.evacuations.borrow_mut().end_returns(clock::now()) {
+            info!(self.log, "all targets of a failure domain are used again"; "id" => domain);
+        }
+    }
+
     /// Returns the wall time at which this instance started, in milliseconds.
     pub fn incarnation(&self) -> u64 {
         self.incarnation
@@ -334,6 +419,7 @@
                 if node.heartbeats_due.take() {
                     node.send_heartbeats();
                 }
+                node.log_ended_returns();
                 node.scheduler.tick();
                 node.frontend.tick();
                 node.crash_history.tick();
@@ -449,6 +535,11 @@
     pub fn receive_heartbeat(self: &Rc<Self>, heartbeat: Heartbeat) {
         let (own_version, newest) = (self.queue_config.borrow().version, heartbeat.newest_config);
         let (name, sender) = (heartbeat.name.clone(), heartbeat.address);
+        let difference = self
+            .evacuations
+            .borrow_mut()
+            .merge(&heartbeat.evacuations, clock::now());
+        self.handle_evacuations(&difference, "peer");
         if let Some(identity) = heartbeat.recipient_identity {
             self.reported_identities.borrow_mut().insert(identity);
         }
@@ -696,6 +787,7 @@
             load: self.scheduler.load(),
             target_short_ids: self.scheduler.short_ids(),
             newest_config: self.config_observation(),
+            evacuations: self.evacuations.borrow().announcement(),
             remote_period: self.membership.remote_period(),
             identity: self.identity.get(),
             recipient_identity: None,
--- a/crates/fleet/src/scheduler/mod.rs
+++ b/crates/fleet/src/scheduler/mod.rs
@@ -17,7 +17,7 @@
 mod poll_loop;
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Cell, Ref, RefCell},
     collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     rc::Rc,
@@ -35,6 +35,7 @@
     backlog::{Backlog, Position},
     circuit_breaker,
     crash_history::{Fate, LossReport},
+    evacuation::EvacuationState,
     fencing::TokenSource,
     identity::Identity,
     messages::{Load, NotStartedReason, RunOutcome, RunRequest},
@@ -93,6 +94,7 @@
 struct Shared {
     config: Config,
     target_client: Rc<dyn TargetClient>,
+    evacuations: Rc<RefCell<EvacuationState>>,
     log: Logger,
     /// `None` until the process has an identity.
     token_source: RefCell<Option<TokenSource>>,
@@ -122,10 +124,16 @@
 impl Scheduler {
     /// Creates a scheduler that holds no targets, and takes over none before
     /// [`Scheduler::set_identity`].
-    pub fn new(config: Config, target_client: Rc<dyn TargetClient>, log: Logger) -> Scheduler {
+    pub fn new(
+        config: Config,
+        target_client: Rc<dyn TargetClient>,
+        evacuations: Rc<RefCell<EvacuationState>>,
+        log: Logger,
+    ) -> Scheduler {
         Scheduler(Rc::new(Shared {
             config,
             target_client,
+            evacuations,
             log,
             token_source: RefCell::default(),
             last_tick: Cell::new(clock::now()),
@@ -208,6 +216,11 @@
         backoffs.values().any(|it| last < it.0 && it.0 <= now)
     }
 
+    /// Evacuated failure domains.
+    pub(crate) fn evacuations(&self) -> Ref<'_, EvacuationState> {
+        self.0.evacuations.borrow()
+    }
+
     /// Ids of the held targets.
     pub fn target_ids(&self) -> Vec<Rc<str>> {
         self.0.held_targets.borrow().keys().cloned().collect()
@@ -391,32 +404,19 @@
         }
     }
 
+    /// Applies a change of the evacuated domains: tasks that wait for their targets
+    /// are given back to the frontends, and targets that may be used again get tasks.
+    pub fn apply_evacuations(&self) {
+        self.0.drop_expired(clock::now());
+        self.0.dispatch();
+    }
+
     /// Drops expired requests from the backlog and stops unclaimed and overdue
     /// runs. Must be called several times a second.
     pub fn tick(&self) {
         let now = clock::now();
         self.0.last_tick.set(now);
-        let expired: Vec<Position> = {
-            let backlog = self.0.backlog.borrow();
-            let is_expired =
-                |it: &QueuedRun| now >= it.expires_at || !self.0.holds_eligible(&it.request);
-            let expired = backlog.iter().filter(|(_, it)| is_expired(it));
-            expired.map(|it| it.0).collect()
-        };
-        for position in expired {
-            let queued = self.0.backlog.borrow_mut().remove(position);
-            if let Some(queued) = queued {
-                let key = (queued.request.task, queued.request.run);
-                self.0.backlog_positions.borrow_mut().remove(&key);
-                let reason = match now >= queued.expires_at {
-                    true => NotStartedReason::StartTimeout,
-                    false => NotStartedReason::OwnerUnavailable,
-                };
-                info!(self.0.log, "task gave up waiting"; "task" => %key.0, "run" => key.1,
-                    "waited_ms" => millis(now - queued.queued_at), "cause" => %reason);
-                let _ = queued.reply.send(RunOutcome::NotStarted(reason));
-            }
-        }
+        self.0.drop_expired(now);
         let held: Vec<_> = self.0.held_targets.borrow().values().cloned().collect();
         for held in held {
             let state = held.state.borrow();
@@ -454,6 +454,31 @@
 }
 
 impl Shared {
+    /// Drops requests from the backlog that have expired or can't start here.
+    fn drop_expired(&self, now: Instant) {
+        let expired: Vec<Position> = {
+            let backlog = self.backlog.borrow();
+            let is_expired =
+                |it: &QueuedRun| now >= it.expires_at || !self.holds_eligible(&it.request);
+            let expired = backlog.iter().filter(|(_, it)| is_expired(it));
+            expired.map(|it| it.0).collect()
+        };
+        for position in expired {
+            let queued = self.backlog.borrow_mut().remove(position);
+            if let Some(queued) = queued {
+                let key = (queued.request.task, queued.request.run);
+                self.backlog_positions.borrow_mut().remove(&key);
+                let reason = match now >= queued.expires_at {
+                    true => NotStartedReason::StartTimeout,
+                    false => NotStartedReason::OwnerUnavailable,
+                };
+                info!(self.log, "task gave up waiting"; "task" => %key.0, "run" => key.1,
+                    "waited_ms" => millis(now - queued.queued_at), "cause" => %reason);
+                let _ = queued.reply.send(RunOutcome::NotStarted(reason));
+            }
+        }
+    }
+
     fn update_target(&self, held: &Rc<HeldTarget>, target: &Target) {
         let mut current = held.target.borrow_mut();
         if target.draining && !current.draining {
@@ -545,13 +570,27 @@
         self.enqueue(key, run.start_by, queued);
     }
 
-    /// Whether a target is held on which `request` may run.
+    /// Whether a target is held on which `request` may run, and not all that could run
+    /// it are evacuated.
     fn holds_eligible(&self, request: &RunRequest) -> bool {
         let held = self.held_targets.borrow();
-        request.eligible_targets.is_empty()
-            || held
-                .values()
-                .any(|it| request.eligible_targets.contains(&it.short_id))
+        let is_any = request.eligible_targets.is_empty();
+        let mut eligible = held
+            .values()
+            .filter(|it| is_any || request.eligible_targets.contains(&it.short_id))
+            .peekable();
+        if eligible.peek().is_none() {
+            return is_any;
+        }
+        let now = clock::now();
+        let mut suitable = eligible.filter(|it| is_suitable(it, request)).peekable();
+        suitable.peek().is_none() || suitable.any(|it| self.may_be_used(it, now))
+    }
+
+    /// Whether no evacuation prevents starts on a target.
+    fn may_be_used(&self, held: &HeldTarget, now: Instant) -> bool {
+        let evacuations = self.evacuations.borrow();
+        evacuations.allows(&held.target.borrow().domain, held.short_id, now)
     }
 
     /// Starts all waiting tasks that fit, in the order of the backlog.
@@ -584,7 +623,7 @@
         let held = self.held_targets.borrow();
         let startable: Vec<_> = held
             .values()
-            .filter(|it| it.accepts_starts())
+            .filter(|it| it.accepts_starts() && self.may_be_used(it, now))
             .cloned()
             .collect();
         let blocked = startable.iter().filter(|it| it.is_blocked(now)).count();
@@ -862,16 +901,15 @@
     }
 }
 
-fn is_eligible(held: &HeldTarget, request: &RunRequest) -> bool {
+/// Whether the target has the service and the label that a request needs.
+fn is_suitable(held: &HeldTarget, request: &RunRequest) -> bool {
     let target = held.target.borrow();
-    if target.service != request.service {
-        return false;
-    }
-    if request
-        .constraint
-        .as_ref()
-        .is_some_and(|it| !target.has_label(it))
-    {
+    let mut required = request.constraint.iter();
+    target.service == request.service && required.all(|it| target.has_label(it))
+}
+
+fn is_eligible(held: &HeldTarget, request: &RunRequest) -> bool {
+    if !is_suitable(held, request) {
         return false;
     }
     if !request.eligible_targets.is_empty() && !request.eligible_targets.contains(&held.short_id) {
--- a/crates/fleet/src/table_watch.rs
+++ b/crates/fleet/src/table_watch.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     Target,
+    evacuation::EvacuationRow,
     identity::{Claim, IdentityStore},
     node::Node,
     read_schedule::Schedule,
@@ -186,8 +187,14 @@
     fn register(&self, timeout: Duration) -> LocalFuture<'static, Result<(), ReadError>>;
 }
 
-/// Row of the configuration: the operator's document.
-pub type ConfigDocument = Rc<str>;
+/// Row of the operator's table.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OperatorRow {
+    /// Configuration document.
+    Config(Rc<str>),
+    /// Request to evacuate a failure domain.
+    Evacuation(EvacuationRow),
+}
 
 /// Row of a target; `None` if it was removed or can't be used.
 pub type TargetRow = (Rc<str>, Option<Target>);
@@ -212,11 +219,12 @@
         }
     }
 
-    /// Watches the configuration until the process ends.
+    /// Watches the operator's table, with the configuration and the evacuated
+    /// domains, until the process ends.
     ///
     /// One task reads when it is this instance's turn, another when a peer knows
     /// a newer configuration.
-    pub fn watch_configuration(&self, table: Rc<dyn Table<Row = ConfigDocument>>) {
+    pub fn watch_configuration(&self, table: Rc<dyn Table<Row = OperatorRow>>) {
         let reader = Rc::new(self.reader(table));
         drop(spawn(read_config_in_turn(
             self.node.clone(),
@@ -428,7 +436,7 @@
 /// Reads the configuration whenever it is the turn of `node`.
 async fn read_config_in_turn(
     node: Rc<Node>,
-    reader: Rc<TableReader<dyn Table<Row = ConfigDocument>>>,
+    reader: Rc<TableReader<dyn Table<Row = OperatorRow>>>,
 ) {
     let mut full_read_done = false;
     loop {
@@ -439,17 +447,16 @@
             false => node.wait_for_config_turn().await,
         };
         // Peers may have seen a later table version than this instance.
-        let after = node.config_observation().table_version;
+        let after = node.operator_table_version();
         let query = match full_read_done {
             true => Query::Changes { after, wait },
             false => Query::All,
         };
         match reader.read(query).await {
             Ok(page) => {
-                full_read_done = true;
                 let before = node.config_observation();
-                node.apply_config_page(&page);
-                if node.config_observation() == before {
+                full_read_done = node.apply_operator_page(query, page).is_ok();
+                if full_read_done && node.config_observation() == before {
                     // The view is stale or its rows are unreadable. The next
                     // read would be due at once and give the same result.
                     clock::sleep(node.config_poll_wait()).await;
@@ -466,18 +473,16 @@
 /// The platform is asked first, as all instances fetch at the same time and the
 /// bandwidth of one peer is limited. The peer is asked if the platform does not
 /// answer in the usual time, or shows a stale view.
-async fn fetch_newer_config(
-    node: Rc<Node>,
-    reader: Rc<TableReader<dyn Table<Row = ConfigDocument>>>,
-) {
+async fn fetch_newer_config(node: Rc<Node>, reader: Rc<TableReader<dyn Table<Row = OperatorRow>>>) {
     loop {
         let sources = node.wait_for_newer_config().await;
-        let after = node.config_observation().table_version;
+        let after = node.operator_table_version();
         if after > 0 && !reader.is_failing() {
             let wait = Duration::ZERO;
-            let answer = reader.read(Query::Changes { after, wait });
-            if let Some(Ok(page)) = clock::timeout(ANSWER_TIMEOUT, answer).await {
-                node.apply_config_page(&page);
+            let query = Query::Changes { after, wait };
+            if let Some(Ok(page)) = clock::timeout(ANSWER_TIMEOUT, reader.read(query)).await {
+                // The next read in turn notices missing changes too.
+                let _ = node.apply_operator_page(query, page);
             }
         }
         node.fetch_config(&sources, ANSWER_TIMEOUT).await;
--- a/crates/fleet/tests/sessions/config.rs
+++ b/crates/fleet/tests/sessions/config.rs
@@ -211,7 +211,7 @@
         },
         FutileCalls {
             name: "a configuration that can't be read",
-            inject: |system| system.config_table.put("config", "no version".into()),
+            inject: |system| system.put_document("no version"),
         },
     ];
     for FutileCalls { name, inject } in FUTILE_CALLS {
--- a/crates/fleet/tests/sessions/main.rs
+++ b/crates/fleet/tests/sessions/main.rs
@@ -2,6 +2,7 @@
 
 mod config;
 mod crashes;
+mod evacuation;
 mod growth;
 mod injected_faults;
 mod overload;
--- a/crates/fleet/tests/sessions/system.rs
+++ b/crates/fleet/tests/sessions/system.rs
@@ -11,11 +11,12 @@
 use bluebellpath_fleet::{
     InjectedFault, JobId, Resources, Target, TaskId,
     config::Config as QueueConfig,
+    evacuation::{EvacuationRow, domain_id},
     frontend::{Answer, Step, Submission},
     membership,
     node::{Config, Node},
     scheduler,
-    table_watch::{ConfigDocument, InstanceRow, Watcher},
+    table_watch::{InstanceRow, OperatorRow, Watcher},
 };
 use bluebellpath_runtime::{LocalFuture, Scope, clock};
 use bluebellpath_standin::{Feed, Identities, Mesh, Yard};
@@ -65,7 +66,7 @@
 pub struct System {
     pub targets: Yard,
     pub target_list: Rc<TargetList>,
-    pub config_table: Feed<ConfigDocument>,
+    pub config_table: Feed<OperatorRow>,
     pub instance_table: Feed<InstanceRow>,
     pub identities: Identities,
     pub mesh: Mesh,
@@ -222,7 +223,23 @@
 
     /// Writes a configuration with this version to the store.
     pub fn write_config(&self, version: u64) {
-        self.config_table.put("config", version.to_string().into());
+        self.put_document(&version.to_string());
+    }
+
+    /// Writes a configuration document to the store.
+    pub fn put_document(&self, document: &str) {
+        let row = OperatorRow::Config(document.into());
+        self.config_table.put("config", row);
+    }
+
+    /// Writes or removes the row that requests the evacuation of a domain.
+    pub fn set_evacuated(&self, domain: &str, requested: bool) {
+        let row = EvacuationRow {
+            domain: domain_id(domain),
+            requested,
+        };
+        let key = format!("evacuate/{domain}");
+        self.config_table.put(&key, OperatorRow::Evacuation(row));
     }
 
     /// Versions of the configuration in force at the live instances.
--- a/crates/standin/src/yard.rs
+++ b/crates/standin/src/yard.rs
@@ -76,6 +76,8 @@
     targets: RefCell<BTreeMap<Rc<str>, Rc<State>>>,
     violations: RefCell<Vec<String>>,
     started: RefCell<BTreeMap<TaskId, u32>>,
+    /// Times of all starts, with the targets.
+    start_times: RefCell<Vec<(Instant, Rc<str>)>>,
     /// Crashes under each task that crashes its targets, and its starts after
     /// [`CRASHES`] of them.
     crashes: RefCell<BTreeMap<TaskId, (u32, u32)>>,
@@ -207,6 +209,18 @@
         self.0.started.borrow().clone()
     }
 
+    /// Times of all starts on the targets of `domain`, with the targets.
+    pub fn starts_in(&self, domain: &str) -> Vec<(Instant, Rc<str>)> {
+        let targets = self.0.targets.borrow();
+        let in_domain = |id: &str| {
+            let state = targets.get(id);
+            state.is_some_and(|it| *it.target.borrow().domain == *domain)
+        };
+        let starts = self.0.start_times.borrow();
+        let starts = starts.iter().filter(|it| in_domain(&it.1));
+        starts.cloned().collect()
+    }
+
     /// Tasks that run now.
     pub fn running(&self) -> Vec<(Rc<str>, TaskId, u32)> {
         let mut all = Vec::new();
@@ -277,6 +291,8 @@
         self.watch(state, start, cpu);
         state.extend(start.lease_end_ms);
         state.runs.borrow_mut().insert(key, busy);
+        let started = (clock::now(), state.target.borrow().id.clone());
+        self.0.start_times.borrow_mut().push(started);
         *self.0.started.borrow_mut().entry(start.task).or_default() += 1;
         state.changed.notify();
         Ok(now_ms())
