Start a run only on targets held since before its request

Cause: a frontend that no longer hears an owner ends its search for a run once other owners have held all targets of the request and did not find it. The owner, which is alive behind a partition, then takes one of the targets over (again) and starts the run from its backlog.

Change: an owner remembers since when it has held the incarnation of a target, from its first answer on, and a request that names targets starts only where that was before the request was sent, on the owner's own monotonic clock. A start under the older token is fenced off by whoever held the target for the search. A request with no such target left is answered as not started. A claim of a waiting run keeps the time and the targets of the first request. Requests of the own frontend name no targets and are not affected.

The injected fault AcceptForeignRequest was hidden by the new check, as both processes of the simulation share a clock; it now also replaces the time of sending.

--- a/crates/fleet/src/injected_fault.rs
+++ b/crates/fleet/src/injected_fault.rs
@@ -17,6 +17,8 @@
     SharedIdentity,
     /// Run requests for an earlier process are executed.
     AcceptForeignRequest,
+    /// A run is started on a target that the owner lost since the request was sent.
+    StartAfterLoss,
     /// Tasks that crash their targets are run like others.
     IgnoreCrashes,
     /// An older configuration replaces a newer one.
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -500,8 +500,15 @@
     }
 
     /// Handles a request of a peer.
-    pub fn handle_request(&self, request: Request) -> LocalFuture<'static, Reply> {
+    pub fn handle_request(&self, mut request: Request) -> LocalFuture<'static, Reply> {
         let scheduler = self.scheduler.clone();
+        if let Request::Run(run_request) = &mut request
+            && self.config.injected_fault == Some(InjectedFault::AcceptForeignRequest)
+        {
+            // The earlier process may have run on another machine, whose clocks tell
+            // nothing about when this one has taken its targets over.
+            run_request.sent_at = ClockReading::now();
+        }
         match request {
             // This process does not know which runs the earlier one has denied.
             Request::Run(run_request) if !self.is_recipient(&run_request) => {
--- a/crates/fleet/src/scheduler/held_target.rs
+++ b/crates/fleet/src/scheduler/held_target.rs
@@ -21,7 +21,7 @@
     Resources, Target, TaskId,
     circuit_breaker::CircuitBreaker,
     crash_history::{Fate, Loss, LossReport},
-    messages::{RunOutcome, RunRequest},
+    messages::{ClockReading, RunOutcome, RunRequest},
     run_time::Estimator,
     target_client::{ExitStatus, Status},
 };
@@ -113,6 +113,9 @@
     pub(super) synced: bool,
     /// True once the target has accepted a fencing token of this owner.
     pub(super) acquired: bool,
+    /// Monotonic time in milliseconds since which no other owner has held this
+    /// incarnation of the target. `None` until the target has answered.
+    held_since_ms: Option<u64>,
     target_clock: Option<(u64, Instant)>,
     /// Time after which all leases granted by this owner have expired.
     pub(super) lease_end: Instant,
@@ -141,6 +144,7 @@
                 fencing_token,
                 synced: false,
                 acquired: false,
+                held_since_ms: None,
                 target_clock: None,
                 lease_end: now,
                 acknowledged_end: 0,
@@ -207,6 +211,21 @@
         state.synced && !self.released.get() && !self.target.borrow().draining
     }
 
+    /// Whether `request` allows a start on this target.
+    ///
+    /// A frontend that loses contact with the owner before the reply ends its search
+    /// once other owners have held the named targets without finding the run. A start
+    /// under a token from before the request is then fenced off, but one under a later
+    /// token would run the task a second time.
+    pub(super) fn is_allowed_by(&self, request: &RunRequest) -> bool {
+        if request.eligible_targets.is_empty() {
+            return true;
+        }
+        let held_since_ms = self.state.borrow().held_since_ms;
+        request.eligible_targets.contains(&self.short_id)
+            && held_since_ms.is_some_and(|it| it < request.sent_at.monotonic_ms)
+    }
+
     /// Identifies the last known incarnation of the target, should it be lost. `None`
     /// if it has announced its end.
     pub(super) fn loss(&self, fate: Fate) -> Option<Loss> {
@@ -355,6 +374,8 @@
         }
         self.synced = true;
         self.acquired = true;
+        self.held_since_ms
+            .get_or_insert_with(|| ClockReading::now().monotonic_ms);
         events
     }
 
@@ -418,6 +439,7 @@
     /// Forgets the state of an ended incarnation of the target.
     pub(super) fn reset_incarnation(&mut self) {
         self.synced = false;
+        self.held_since_ms = None;
         self.target_clock = None;
         self.acknowledged_end = 0;
         self.latest_status_ms = 0;
--- a/crates/fleet/src/scheduler/mod.rs
+++ b/crates/fleet/src/scheduler/mod.rs
@@ -229,10 +229,13 @@
     /// to the run if the future is dropped.
     pub fn run(
         &self,
-        request: RunRequest,
+        mut request: RunRequest,
         drop_policy: DropPolicy,
     ) -> LocalFuture<'static, RunOutcome> {
         let shared = self.0.clone();
+        if shared.config.injected_fault == Some(InjectedFault::StartAfterLoss) {
+            request.sent_at.monotonic_ms = u64::MAX;
+        }
         Box::pin(async move {
             let key = (request.task, request.run);
             if shared.leaving.get() {
@@ -548,10 +551,7 @@
     /// Whether a target is held on which `request` may run.
     fn holds_eligible(&self, request: &RunRequest) -> bool {
         let held = self.held_targets.borrow();
-        request.eligible_targets.is_empty()
-            || held
-                .values()
-                .any(|it| request.eligible_targets.contains(&it.short_id))
+        request.eligible_targets.is_empty() || held.values().any(|it| it.is_allowed_by(request))
     }
 
     /// Starts all waiting tasks that fit, in the order of the backlog.
@@ -669,6 +669,8 @@
                 queued.reply = reply;
                 queued.request = RunRequest {
                     spec: queued.request.spec.clone(),
+                    eligible_targets: queued.request.eligible_targets.clone(),
+                    sent_at: queued.request.sent_at,
                     ..request.clone()
                 };
             }
@@ -874,7 +876,7 @@
     {
         return false;
     }
-    if !request.eligible_targets.is_empty() && !request.eligible_targets.contains(&held.short_id) {
+    if !held.is_allowed_by(request) {
         return false;
     }
     if request.exclusive && !held.state.borrow().runs.is_empty() {
--- a/crates/fleet/tests/sessions/random.rs
+++ b/crates/fleet/tests/sessions/random.rs
@@ -29,7 +29,10 @@
     cause: &'static str,
 }
 
-const REGRESSION_SEEDS: [RegressionSeed; 14] = [
+const LATE_START: &str =
+    "an owner that its frontend had given up took a target over again and started the run there";
+
+const REGRESSION_SEEDS: [RegressionSeed; 23] = [
     RegressionSeed {
         seed: 1,
         cause: "incrementing the token of one target raised those of all targets without bound",
@@ -86,6 +89,42 @@
         seed: 750_056,
         cause: "the time of a search was counted from its start, not from the last possible owner",
     },
+    RegressionSeed {
+        seed: 2_002_178,
+        cause: LATE_START,
+    },
+    RegressionSeed {
+        seed: 2_002_837,
+        cause: LATE_START,
+    },
+    RegressionSeed {
+        seed: 2_005_133,
+        cause: LATE_START,
+    },
+    RegressionSeed {
+        seed: 2_019_608,
+        cause: LATE_START,
+    },
+    RegressionSeed {
+        seed: 2_021_280,
+        cause: LATE_START,
+    },
+    RegressionSeed {
+        seed: 2_024_331,
+        cause: LATE_START,
+    },
+    RegressionSeed {
+        seed: 2_030_629,
+        cause: LATE_START,
+    },
+    RegressionSeed {
+        seed: 2_037_393,
+        cause: LATE_START,
+    },
+    RegressionSeed {
+        seed: 2_042_555,
+        cause: LATE_START,
+    },
 ];
 
 /// Steps of a session.
