--- a/crates/fleet/src/scheduler/mod.rs
+++ b/crates/fleet/src/scheduler/mod.rs
@@ -250,10 +250,13 @@
     /// to the run if the future is dropped.
     pub fn run(
         &self,
-        request: RunRequest,
+        mut request: RunRequest,
         drop_policy: DropPolicy,
     ) -> LocalFuture<'static, RunOutcome> {
         let shared = self.0.clone();
+        if shared.config.injected_fault == Some(InjectedFault::StartAfterLoss) {
+            request.sent_at.monotonic_ms = u64::MAX;
+        }
         Box::pin(async move {
             let key = (request.task, request.run);
             if shared.leaving.get() {
@@ -581,7 +584,7 @@
         let is_any = request.eligible_targets.is_empty();
         let mut eligible = held
             .values()
-            .filter(|it| is_any || request.eligible_targets.contains(&it.short_id))
+            .filter(|it| is_any || it.is_allowed_by(request))
             .peekable();
         if eligible.peek().is_none() {
             return is_any;
@@ -772,6 +775,8 @@
                 queued.reply = reply;
                 queued.request = RunRequest {
                     spec: queued.request.spec.clone(),
+                    eligible_targets: queued.request.eligible_targets.clone(),
+                    sent_at: queued.request.sent_at,
                     ..request.clone()
                 };
             }
@@ -998,7 +1003,7 @@
     if !is_suitable(held, request) {
         return false;
     }
-    if !request.eligible_targets.is_empty() && !request.eligible_targets.contains(&held.short_id) {
+    if !held.is_allowed_by(request) {
         return false;
     }
     if request.exclusive && !held.state.borrow().runs.is_empty() {
