Admit jobs by the start delay that owners measure

Change: owners report the mean time from arrival to start for each priority; a job is admitted only if it ends within its goal after the expected delay of its last task.

--- a/crates/fleet/src/frontend/mod.rs
+++ b/crates/fleet/src/frontend/mod.rs
@@ -40,6 +40,7 @@
     owner_selection::{self, Demand, Distance, Owner},
     room::Forecast,
     scheduler::{DropPolicy, Scheduler},
+    start_delay,
     target_list::TargetList,
 };
 
@@ -405,20 +406,25 @@
             false => (submission.deadline, submission.deadline + run_time),
         };
         let (wait, end) = expected.unwrap_or(unknown);
+        let tasks = steps.iter().map(|it| it.tasks).max().unwrap_or_default();
+        let reachable = owners.iter().filter(|it| it.reachable);
+        let measured = reachable.flat_map(|it| it.load.start_delays());
+        let delay = start_delay::expected_delay(submission.priority, tasks, measured);
+        let end = end.max(delay + run_time);
         let useful_time = submission.latency_goal * ADMISSION_GOAL_PERCENT / 100;
         let mut time_limit = useful_time.min(submission.deadline);
         if let Some(at) = self.answer_by.get() {
             time_limit = time_limit.min(at - clock::now());
         }
         let estimate = Estimate {
-            wait,
+            wait: wait.max(delay),
             end,
             time_limit,
         };
         let decision = admission::decide(estimate);
         if let Decision::Refuse(retry) = decision {
             info!(self.log, "job refused at its arrival"; "job" => %submission.job,
-                "wait_ms" => millis(wait), "end_ms" => millis(end), "limit_ms" => millis(time_limit),
+                "wait_ms" => millis(wait), "delay_ms" => millis(delay), "end_ms" => millis(end), "limit_ms" => millis(time_limit),
                 "owners" => owners.len(), "oldest_load_ms" => millis(self.membership.oldest_load_age()),
                 "retry_ms" => millis(retry));
         }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,7 +19,7 @@
 * [`evacuation`]: the failure domains in which nothing may start.
 * [`crash_history`]: the tasks that were running on targets which were lost.
 * [`membership`]: the other instances, their load and whether they are alive.
-* [`owner_selection`], [`backlog`], [`placement`], [`forecast`], [`room`], [`admission`],
+* [`owner_selection`], [`backlog`], [`placement`], [`forecast`], [`room`], [`start_delay`], [`admission`],
   [`run_time`], [`circuit_breaker`], [`lost_answers`], [`read_schedule`]: decisions without I/O.
 
 This crate does no I/O of its own: it reaches targets through
@@ -38,6 +38,7 @@
 pub mod forecast;
 pub mod lost_answers;
 pub mod room;
+pub mod start_delay;
 pub mod owner_selection;
 pub mod frontend;
 pub mod scheduler;
--- a/crates/fleet/src/messages.rs
+++ b/crates/fleet/src/messages.rs
@@ -6,7 +6,7 @@
 use bluebellpath_runtime::clock;
 use serde::{Deserialize, Serialize};
 
-use crate::{Resources, TaskId, crash_history::Loss, room::Room};
+use crate::{Resources, TaskId, crash_history::Loss, room::Room, start_delay::StartDelay};
 
 /// Reading of the clocks of an instance.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -145,7 +145,7 @@
     pub backlog: Vec<Waiting>,
 }
 
-/// Waiting tasks of one priority.
+/// Waiting tasks of one priority, and the delay of those that started.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Waiting {
     /// Priority; 0 is the highest.
@@ -154,6 +154,10 @@
     pub tasks: u16,
     /// Work in core-milliseconds.
     pub core_ms: u32,
+    /// Tasks that started lately or wait, over which `start_delay_ms` is the mean.
+    pub recent_starts: u16,
+    /// Mean time from arrival to start, in milliseconds.
+    pub start_delay_ms: u16,
 }
 
 impl Load {
@@ -167,6 +171,28 @@
     /// Adds a waiting task of `priority` with its work in core-milliseconds.
     pub fn add_backlog(&mut self, priority: u8, core_ms: u64) {
         let core_ms = u32::try_from(core_ms).unwrap_or(u32::MAX);
+        let entry = self.entry(priority);
+        entry.tasks = entry.tasks.saturating_add(1);
+        entry.core_ms = entry.core_ms.saturating_add(core_ms);
+    }
+
+    /// Sets the start delay that was measured for `priority`.
+    pub fn set_start_delay(&mut self, priority: u8, delay: StartDelay) {
+        let entry = self.entry(priority);
+        entry.recent_starts = delay.starts;
+        entry.start_delay_ms = delay.mean_ms;
+    }
+
+    /// Start delays that were measured, by priority.
+    pub fn start_delays(&self) -> impl Iterator<Item = (u8, StartDelay)> {
+        let delay = |it: &Waiting| StartDelay {
+            starts: it.recent_starts,
+            mean_ms: it.start_delay_ms,
+        };
+        self.backlog.iter().map(move |it| (it.priority, delay(it)))
+    }
+
+    fn entry(&mut self, priority: u8) -> &mut Waiting {
         let known = self.backlog.iter().position(|it| it.priority == priority);
         let index = known.unwrap_or_else(|| {
             self.backlog.push(Waiting {
@@ -175,8 +201,6 @@
             });
             self.backlog.len() - 1
         });
-        let entry = &mut self.backlog[index];
-        entry.tasks = entry.tasks.saturating_add(1);
-        entry.core_ms = entry.core_ms.saturating_add(core_ms);
+        &mut self.backlog[index]
     }
 }
--- a/crates/fleet/src/scheduler/mod.rs
+++ b/crates/fleet/src/scheduler/mod.rs
@@ -42,6 +42,7 @@
     messages::{Load, NotStartedReason, RunOutcome, RunRequest},
     placement::{self, Candidate},
     room::{Room, TargetRoom},
+    start_delay::StartDelays,
     target_client::{ExitStatus, TargetClient},
 };
 
@@ -119,6 +120,7 @@
     /// Reports on lost targets that were not sent yet, with the frontends of the tasks.
     loss_reports: RefCell<Vec<(LossReport, BTreeSet<SocketAddr>)>>,
     lost_answers: RefCell<LostAnswers>,
+    start_delays: RefCell<StartDelays>,
 }
 
 struct QueuedRun {
@@ -153,6 +155,7 @@
             denied_runs: RefCell::default(),
             loss_reports: RefCell::default(),
             lost_answers: RefCell::default(),
+            start_delays: RefCell::default(),
         }))
     }
 
@@ -379,6 +382,12 @@
         for (position, queued) in backlog.iter() {
             load.add_backlog(position.priority, work_core_ms(&queued.request));
         }
+        let waiting = backlog.iter();
+        let waiting = waiting.map(|(position, it)| (position.priority, now - it.queued_at));
+        let start_delays = self.0.start_delays.borrow().summarize(waiting, now);
+        for (priority, delay) in start_delays {
+            load.set_start_delay(priority, delay);
+        }
         load
     }
 
@@ -638,6 +647,10 @@
             };
             let key = (queued.request.task, queued.request.run);
             self.backlog_positions.borrow_mut().remove(&key);
+            let now = clock::now();
+            self.start_delays
+                .borrow_mut()
+                .record(position.priority, now - queued.queued_at, now);
             run_control::spawn_start(self, &held, position, queued);
         }
     }
--- a/crates/fleet/tests/decisions.rs
+++ b/crates/fleet/tests/decisions.rs
@@ -483,6 +483,7 @@
                 priority: 1,
                 tasks: 8,
                 core_ms,
+                ..Waiting::default()
             }],
         }),
         load_age: ms(0),
@@ -725,6 +726,7 @@
             priority: it.0,
             tasks: it.1,
             core_ms: it.2,
+            ..Waiting::default()
         });
         let load = Load {
             room: Room::summarize(&targets.collect::<Vec<_>>()),
--- a/crates/fleet/tests/sessions/overload.rs
+++ b/crates/fleet/tests/sessions/overload.rs
@@ -234,11 +234,13 @@
 #[test]
 fn goodput_does_not_fall_under_overload() {
     let loads = [0.5, 0.6, 0.7, 0.8, 0.9, 1.2, 1.6, 2.0, 3.0];
-    let mut best = 0.0_f64;
-    for load in loads {
+    let goodputs = loads.map(|load| {
         let counts = play(load, 7);
         print(load, &counts);
-        let goodput = goodput(&counts);
+        (load, goodput(&counts))
+    });
+    let mut best = 0.0_f64;
+    for (load, goodput) in goodputs {
         assert!(
             goodput >= 0.9 * best,
             "load {load}: {goodput} jobs/s in time after {best} at a lower load"
