Let late tasks give way to tasks that can be in time

Cause: under overload, a job of several tasks is late as soon as one of them is, but its other tasks kept their places at other owners and took the capacity of jobs that could be in time. Wide jobs of priority 0 were served in part or late.

Change: when nothing more fits and tasks of a priority that can be in time still wait, the late tasks of the same priority are answered `NotStarted(StartTimeout)`, so that their frontends withdraw the whole jobs.

--- a/crates/fleet/src/backlog.rs
+++ b/crates/fleet/src/backlog.rs
@@ -9,7 +9,10 @@
 target does not block the tasks behind it.
 
 Each task has a time after which a start is of no value. [`Backlog::take_expired`]
-removes such tasks, so that their jobs are given up before they cost capacity.
+removes such tasks, so that their jobs are given up before they cost capacity. While
+tasks that can be in time wait for capacity, [`Backlog::take_late`] removes the late
+ones of the same priority: their job is late whatever its other tasks do, and those
+take the capacity of jobs that could be in time.
 */
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -110,30 +113,47 @@
             .collect()
     }
 
+    /// Removes and returns the tasks that can only be late at `now`, of each priority
+    /// of which other tasks can still be in time.
+    pub fn take_late(&mut self, now: Instant) -> Vec<T> {
+        let is_short = |it: &u8| self.on_time(*it, now).next().is_some();
+        let late = self.priorities().filter(is_short);
+        let late = late.flat_map(|it| self.late(it, now).map(|it| *it.0));
+        let late: Vec<Position> = late.collect();
+        late.into_iter().filter_map(|it| self.remove(it)).collect()
+    }
+
     /// First [`SCAN_LIMIT`] tasks in scheduling order at `now`.
     pub fn scan(&self, now: Instant) -> impl Iterator<Item = (Position, &T)> {
-        let first_of = |priority| {
-            self.entries
-                .range(Position::first(priority, Instant::default())..)
-        };
-        let first = first_of(0).next();
-        let priorities = std::iter::successors(first.map(|it| it.0.priority), move |it| {
-            let next = first_of(it.checked_add(1)?).next()?;
-            Some(next.0.priority)
-        });
-        let of_priority = move |priority| {
-            let is_within = move |(at, _): &(&Position, _)| at.priority == priority;
-            let boundary = Position::first(priority, now);
-            let on_time = self.entries.range(boundary..).take_while(is_within);
-            let late = self.entries.range(..boundary).rev().take_while(is_within);
-            on_time.chain(late)
-        };
-        priorities
-            .flat_map(of_priority)
+        self.priorities()
+            .flat_map(move |it| self.on_time(it, now).chain(self.late(it, now)))
             .take(SCAN_LIMIT)
             .map(|(at, entry)| (*at, &entry.item))
     }
 
+    /// Priorities of the waiting tasks, in order.
+    fn priorities(&self) -> impl Iterator<Item = u8> {
+        let first_from = |priority| {
+            let from = Position::first(priority, Instant::default());
+            Some(self.entries.range(from..).next()?.0.priority)
+        };
+        std::iter::successors(first_from(0), move |it| first_from(it.checked_add(1)?))
+    }
+
+    /// Tasks of `priority` that can be in time, by least slack.
+    fn on_time(&self, priority: u8, now: Instant) -> impl Iterator<Item = (&Position, &Entry<T>)> {
+        let from = Position::first(priority, now);
+        let on_time = self.entries.range(from..);
+        on_time.take_while(move |it| it.0.priority == priority)
+    }
+
+    /// Tasks of `priority` that can only be late, the one that became late last first.
+    fn late(&self, priority: u8, now: Instant) -> impl Iterator<Item = (&Position, &Entry<T>)> {
+        let to = Position::first(priority, now);
+        let late = self.entries.range(..to).rev();
+        late.take_while(move |it| it.0.priority == priority)
+    }
+
     /// All tasks by priority and the time at which they should start.
     pub fn iter(&self) -> impl Iterator<Item = (Position, &T)> {
         self.entries.iter().map(|(at, entry)| (*at, &entry.item))
--- a/crates/fleet/src/scheduler/mod.rs
+++ b/crates/fleet/src/scheduler/mod.rs
@@ -563,6 +563,14 @@
         }
     }
 
+    /// Answers the late tasks of each priority of which other tasks can be in time.
+    fn refuse_late(&self, now: Instant) {
+        let late = self.backlog.borrow_mut().take_late(now);
+        for queued in late {
+            self.refuse_waiting(queued, NotStartedReason::StartTimeout, now);
+        }
+    }
+
     /// Answers a task that was removed from the backlog.
     fn refuse_waiting(&self, queued: QueuedRun, reason: NotStartedReason, now: Instant) {
         let key = (queued.request.task, queued.request.run);
@@ -574,7 +582,7 @@
     }
 
     /// Starts all waiting tasks that fit, in the order of the backlog, and answers
-    /// those that have expired.
+    /// those that have expired or take capacity from tasks that can be in time.
     ///
     /// A process that was suspended starts nothing before its next tick, because
     /// the frontends of the waiting tasks may have gone.
@@ -586,6 +594,7 @@
         }
         loop {
             let Some((position, held)) = self.next_start() else {
+                self.refuse_late(now);
                 return;
             };
             let Some(queued) = self.backlog.borrow_mut().remove(position) else {
--- a/crates/fleet/tests/decisions.rs
+++ b/crates/fleet/tests/decisions.rs
@@ -399,6 +399,52 @@
     assert!(backlog.is_empty() && backlog.take_expired(at(2_000)).is_empty());
 }
 
+#[test]
+fn late_tasks_give_way_to_tasks_that_can_be_in_time() {
+    struct Case {
+        what: &'static str,
+        tasks: &'static [(&'static str, u8, u64)],
+        removed: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            what: "a task of the same priority can be in time",
+            tasks: &[("older", 1, 100), ("old", 1, 399), ("soon", 1, 400)],
+            removed: &["old", "older"],
+        },
+        Case {
+            what: "all tasks are late",
+            tasks: &[("older", 1, 100), ("old", 1, 399)],
+            removed: &[],
+        },
+        Case {
+            what: "only tasks of other priorities can be in time",
+            tasks: &[("urgent", 0, 900), ("old", 1, 100), ("lower", 2, 900)],
+            removed: &[],
+        },
+        Case {
+            what: "each priority by itself",
+            tasks: &[
+                ("a", 0, 1),
+                ("b", 0, 900),
+                ("c", 1, 1),
+                ("d", 255, 1),
+                ("e", 255, 900),
+            ],
+            removed: &["a", "d"],
+        },
+    ];
+    for case in cases {
+        let mut backlog = Backlog::default();
+        for &(name, priority, start_ms) in case.tasks {
+            backlog.push(priority, at(start_ms), at(10_000), name);
+        }
+        assert_eq!(backlog.take_late(at(400)), case.removed, "{}", case.what);
+        let left = case.tasks.len() - case.removed.len();
+        assert_eq!(backlog.len(), left, "{}", case.what);
+    }
+}
+
 #[test]
 fn placement_chooses_the_tightest_target_that_meets_the_goal() {
     struct Case {
--- a/crates/fleet/tests/sessions/overload.rs
+++ b/crates/fleet/tests/sessions/overload.rs
@@ -246,3 +246,21 @@
         best = best.max(goodput);
     }
 }
+
+/// Guards against an order of the waiting work that only holds for one sequence of
+/// jobs.
+#[test]
+fn mean_goodput_does_not_fall_under_overload() {
+    let seeds = 1..=6;
+    let mut best = 0.0_f64;
+    for load in [0.7, 0.9, 1.2, 1.6, 2.0, 3.0] {
+        let plays = seeds.clone().map(|seed| goodput(&play(load, seed)));
+        let goodput = plays.sum::<f64>() / seeds.clone().count() as f64;
+        println!("load {load}: mean goodput {goodput:.1}/s");
+        assert!(
+            goodput >= 0.9 * best,
+            "load {load}: {goodput} jobs/s in time after {best} at a lower load"
+        );
+        best = best.max(goodput);
+    }
+}
