--- a/crates/fleet/src/scheduler/mod.rs
+++ b/crates/fleet/src/scheduler/mod.rs
@@ -37,10 +37,12 @@
     crash_history::{Fate, LossReport},
     evacuation::EvacuationState,
     fencing::TokenSource,
+    forecast::Occupancy,
     identity::Identity,
     lost_answers::LostAnswers,
     messages::{Load, NotStartedReason, RunOutcome, RunRequest},
     placement::{self, Candidate},
+    reservation::{self, Reservations},
     room::{Room, TargetRoom},
     start_delay::StartDelays,
     target_client::{ExitStatus, TargetClient},
@@ -617,6 +619,14 @@
         }
     }
 
+    /// Answers the late tasks of each priority of which other tasks can be in time.
+    fn refuse_late(&self, now: Instant) {
+        let late = self.backlog.borrow_mut().take_late(now);
+        for queued in late {
+            self.refuse_waiting(queued, NotStartedReason::StartTimeout, now);
+        }
+    }
+
     /// Answers a task that was removed from the backlog.
     fn refuse_waiting(&self, queued: QueuedRun, reason: NotStartedReason, now: Instant) {
         let key = (queued.request.task, queued.request.run);
@@ -628,7 +638,7 @@
     }
 
     /// Starts all waiting tasks that fit, in the order of the backlog, and answers
-    /// those that have expired.
+    /// those that have expired or take capacity from tasks that can be in time.
     ///
     /// A process that was suspended starts nothing before its next tick, because
     /// the frontends of the waiting tasks may have gone.
@@ -640,6 +650,7 @@
         }
         loop {
             let Some((position, held)) = self.next_start() else {
+                self.refuse_late(now);
                 return;
             };
             let Some(queued) = self.backlog.borrow_mut().remove(position) else {
@@ -685,6 +696,7 @@
         let now = clock::now();
         let startable = self.startable_targets();
         let free: Vec<_> = startable.iter().map(|it| it.free_resources()).collect();
+        let mut reservations = Reservations::new(startable.len());
         backlog.scan(now).find_map(|(position, queued)| {
             let request = &queued.request;
             let goal = position.start_by - now + Duration::from_millis(request.estimate_ms.into());
@@ -701,8 +713,16 @@
                 };
                 (index, candidate)
             });
-            let chosen = placement::choose(request.resources, goal, candidates)?;
-            Some((position, startable[chosen].clone()))
+            let candidates = candidates.filter(|(index, it)| {
+                reservations.allow(*index, request.resources, now + it.expected_run_time)
+            });
+            match placement::choose(request.resources, goal, candidates) {
+                Some(chosen) => Some((position, startable[chosen].clone())),
+                None => {
+                    self.reserve(&mut reservations, &startable, position, request, now);
+                    None
+                }
+            }
         })
     }
 
@@ -745,6 +765,42 @@
         }
     }
 
+    /// Reserves a target for a task that fits nowhere yet.
+    fn reserve(
+        &self,
+        reservations: &mut Reservations,
+        startable: &[Rc<HeldTarget>],
+        position: Position,
+        request: &RunRequest,
+        now: Instant,
+    ) {
+        if position.start_by < now || reservations.is_full() {
+            return;
+        }
+        let rooms = startable.iter().enumerate().filter_map(|(index, held)| {
+            is_eligible(held, request).then_some(())?;
+            Some((index, self.room(held)?))
+        });
+        reservations.reserve(request.resources, position.start_by, rooms, now);
+    }
+
+    /// Room on a target, now and when the runs there end. `None` if the needs of a run
+    /// are unknown.
+    fn room(&self, held: &HeldTarget) -> Option<reservation::Room> {
+        let free = held.free_resources();
+        let state = held.state.borrow();
+        let target = held.target.borrow();
+        let occupancies = state.runs.values().map(|run| {
+            let request = run.request.as_ref().filter(|it| !it.exclusive)?;
+            Some(Occupancy {
+                resources: request.resources,
+                expected_end: run.started_at + self.estimate_run_time(&target, &state, request),
+            })
+        });
+        let runs = occupancies.collect::<Option<Vec<_>>>()?;
+        Some(reservation::Room { free, runs })
+    }
+
     fn estimate_run_time(
         &self,
         target: &Target,
