Test evacuations without I/O, under random faults and with waiting tasks

Cause: which set is kept, what returns when, and what becomes of waiting tasks had no test of their own.

--- a/crates/fleet/tests/sessions/evacuation.rs
+++ b/crates/fleet/tests/sessions/evacuation.rs
@@ -6,7 +6,7 @@
 use bluebellpath_fleet::{InjectedFault, Target, evacuation::used_permille, frontend::Answer};
 use bluebellpath_runtime::{Instant, clock, runtime};
 
-use crate::system::{JobSpec, Layout, System, sleep_ms};
+use crate::system::{JobSpec, Layout, SMALL, System, sleep_ms};
 
 const LAYOUT: Layout = Layout {
     domains: 3,
@@ -72,7 +72,7 @@
     ..ORDINARY
 };
 
-const CASES: [Case; 14] = [
+const CASES: [Case; 15] = [
     ORDINARY,
     Case {
         name: "the reader is killed with the request",
@@ -192,6 +192,15 @@
         bound_ms: BOUND_MS + (65 - REQUEST_STEP) * STEP_MS,
         ..ORDINARY
     },
+    Case {
+        name: "the instances of the domain are down, and others own its targets",
+        disturb: |system, step| {
+            if step == 2 {
+                OF_DOMAIN.iter().for_each(|it| system.kill(*it));
+            }
+        },
+        ..ORDINARY
+    },
     Case {
         name: "a burst of four times the jobs",
         jobs_per_step: 4 * JOBS_PER_STEP,
@@ -278,6 +287,86 @@
     assert!(!older.is_empty(), "the injected fault was not detected");
 }
 
+/// Guards against tasks that wait for evacuated targets until their time is over. The
+/// targets of the other domain have become free meanwhile.
+#[test]
+fn tasks_that_wait_for_evacuated_targets_are_moved_at_once() {
+    runtime::paused(async {
+        let system = System::start(SMALL).await;
+        let fill = |job, instance, run_ms| {
+            let spec = JobSpec {
+                job,
+                tasks: 8,
+                run_ms,
+                ..JobSpec::default()
+            };
+            system.submit(instance, spec);
+        };
+        fill(1, 0, 600);
+        fill(2, 2, 3_000);
+        sleep_ms(300).await;
+        let waiting = JobSpec {
+            job: 3,
+            ..JobSpec::default()
+        };
+        system.submit(2, waiting);
+        sleep_ms(450).await;
+        let waiting = || -> usize {
+            let of_domain = system.instances.iter().filter(|it| it.domain == DOMAIN);
+            let counts = of_domain.map(|it| it.node.scheduler().task_counts());
+            counts.map(|it| it.1).sum()
+        };
+        assert_ne!(waiting(), 0, "tasks wait in the domain");
+        system.set_evacuated(DOMAIN, true);
+        sleep_ms(50).await;
+        assert_eq!(waiting(), 0);
+        sleep_ms(250).await;
+        assert_eq!(system.answer(3), Some(Answer::Completed));
+        sleep_ms(3_000).await;
+        // What runs there ends normally.
+        assert_eq!(system.answer(2), Some(Answer::Completed));
+        assert_eq!(system.started_runs(2), 8);
+        system.assert_no_violations();
+    });
+}
+
+/// Guards against run requests to owners whose last load was sent before they knew of
+/// the evacuation.
+#[test]
+fn a_frontend_sends_nothing_to_an_owner_of_evacuated_targets() {
+    runtime::paused(async {
+        let system = System::start(SMALL).await;
+        let fill = JobSpec {
+            tasks: 8,
+            run_ms: 3_000,
+            ..JobSpec::default()
+        };
+        system.submit(0, fill);
+        sleep_ms(300).await;
+        for owner in [2, 3] {
+            let address = |number: usize| system.instances[number].address;
+            system.mesh.drop_heartbeats(address(owner), address(0));
+        }
+        system.set_evacuated(DOMAIN, true);
+        sleep_ms(100).await;
+        let calls = system.mesh.calls();
+        let job = JobSpec {
+            job: 2,
+            tasks: 2,
+            run_ms: 2_000,
+            ..JobSpec::default()
+        };
+        system.submit(0, job);
+        // Shorter than the time to the next call about the list of targets.
+        sleep_ms(10).await;
+        let sent = system.mesh.calls() - calls;
+        let waiting = [0, 1].map(|it| system.instances[it].node.scheduler().task_counts().1);
+        assert_eq!(waiting.iter().sum::<usize>(), 2);
+        assert_eq!(sent, u64::try_from(waiting[1]).expect("small"));
+        system.assert_no_violations();
+    });
+}
+
 /// Changes of the row: the step and whether the evacuation is requested.
 struct Sequence {
     name: &'static str,
--- a/crates/fleet/tests/sessions/spread.rs
+++ b/crates/fleet/tests/sessions/spread.rs
@@ -1,5 +1,5 @@
-//! Distribution of configurations under random mixes of faults, reproducible by
-//! seed. Each configuration must be in force in time.
+//! Distribution of configurations and evacuations under random mixes of faults,
+//! reproducible by seed. Each must be in force in time.
 //!
 //! `SPREAD_SEED` runs a single seed, `SPREAD_SEEDS=A-B` a range without `B`, and
 //! `SESSION_LOG` prints the log.
@@ -37,6 +37,15 @@
 /// Time within which a configuration must be in force.
 const APPLY_DEADLINE: Duration = Duration::from_millis(2_000);
 
+/// Time within which an evacuation, or its end, must be known.
+const EVACUATION_DEADLINE: Duration = Duration::from_millis(5_000);
+
+/// Domain that is evacuated in the sessions with evacuations.
+const EVACUATED: &str = "domain-1";
+
+/// Mixed into the seed of the evacuations, so that they do not change the faults.
+const EVACUATION_SEED: u64 = 0x5eed;
+
 /// Time for which an instance must have had access before the deadline applies.
 const RECOVERY_TIME: Duration = Duration::from_millis(3_000);
 
@@ -56,6 +65,24 @@
 
 #[test]
 fn no_mix_of_troubles_delays_a_configuration() {
+    run_seeds(Rows::Configurations);
+}
+
+#[test]
+fn no_mix_of_troubles_delays_an_evacuation() {
+    run_seeds(Rows::Evacuations);
+}
+
+/// Rows that are written in a session.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Rows {
+    Configurations,
+    /// Configurations, and evacuations with their cancellations.
+    Evacuations,
+}
+
+fn run_seeds(rows: Rows) {
+    let run_seed = |seed| run_seed(seed, rows);
     if let Some(seed) = parse_number(std::env::var("SPREAD_SEED").ok().as_deref()) {
         return run_seed(seed);
     }
@@ -74,15 +101,25 @@
 
 #[test]
 fn an_injected_single_long_poll_is_detected() {
+    let found = SEEDS.clone().find(|it| {
+        let injected_fault = Some(InjectedFault::SingleLongPoll);
+        !run_session(*it, Rows::Configurations, injected_fault).is_empty()
+    });
+    assert!(found.is_some(), "the injected fault was not detected");
+}
+
+#[test]
+fn an_injected_older_evacuation_is_detected() {
+    let injected_fault = Some(InjectedFault::AcceptOlderEvacuations);
     let found = SEEDS
         .clone()
-        .find(|it| !run_session(*it, Some(InjectedFault::SingleLongPoll)).is_empty());
+        .find(|it| !run_session(*it, Rows::Evacuations, injected_fault).is_empty());
     assert!(found.is_some(), "the injected fault was not detected");
 }
 
-fn run_seed(seed: u64) {
+fn run_seed(seed: u64, rows: Rows) {
     println!("seed {seed}");
-    let late = run_session(seed, None);
+    let late = run_session(seed, rows, None);
     assert!(late.is_empty(), "seed {seed}: {late:#?}");
 }
 
@@ -102,6 +139,8 @@
     last_versions: Vec<u64>,
     /// Versions with the times at which they were written.
     written_versions: Vec<(u64, Instant)>,
+    /// Last change of the evacuation, with its time.
+    evacuation: (bool, Instant),
 }
 
 impl ActiveFaults {
@@ -144,6 +183,15 @@
             let Some(since) = self.reachable_since[number] else {
                 continue;
             };
+            let (requested, changed_at) = self.evacuation;
+            let evacuated = system.instances[number].node.evacuated_domains();
+            if now - since > RECOVERY_TIME
+                && now - changed_at > EVACUATION_DEADLINE
+                && evacuated != usize::from(requested)
+            {
+                let at_ms = now.as_nanos() / 1_000_000;
+                return Some(format!("{at_ms}: entry-{number} has {evacuated} evacuated"));
+            }
             let due = self
                 .written_versions
                 .iter()
@@ -162,7 +210,7 @@
 }
 
 /// Runs a session and returns the late or rolled back versions.
-fn run_session(seed: u64, injected_fault: Option<InjectedFault>) -> Vec<String> {
+fn run_session(seed: u64, rows: Rows, injected_fault: Option<InjectedFault>) -> Vec<String> {
     runtime::paused(async move {
         let mut rng = Rng(seed);
         let mut system = System::start_with(LAYOUT, injected_fault).await;
@@ -175,7 +223,9 @@
             reachable_since: vec![None; INSTANCES],
             last_versions: vec![0; INSTANCES],
             written_versions: Vec::new(),
+            evacuation: (false, clock::now()),
         };
+        let mut evacuation_rng = Rng(seed ^ EVACUATION_SEED);
         let mut late = Vec::new();
         for check_index in 0..CHECKS {
             if rng.below(40) == 0 {
@@ -183,6 +233,11 @@
                 system.write_config(version);
                 active_faults.written_versions.push((version, clock::now()));
             }
+            if rows == Rows::Evacuations && evacuation_rng.below(50) == 0 {
+                let requested = !active_faults.evacuation.0;
+                system.set_evacuated(EVACUATED, requested);
+                active_faults.evacuation = (requested, clock::now());
+            }
             if rng.below(8) == 0 {
                 inject_fault(&mut system, &mut active_faults, &mut rng);
             }
