--- a/crates/bluebellpath/src/metric/meters.rs
+++ b/crates/bluebellpath/src/metric/meters.rs
@@ -162,6 +162,13 @@
                 "Milliseconds since that version was known to be the newest",
             ),
         ),
+        (
+            |it| it.evacuated_domains,
+            gauge(
+                "evacuated_domains",
+                "Failure domains in which nothing may be started",
+            ),
+        ),
     ]
 }
 
--- a/crates/bluebellpath/src/metric/sample.rs
+++ b/crates/bluebellpath/src/metric/sample.rs
@@ -23,4 +23,6 @@
     pub config_version: u64,
     /// Milliseconds since it was last known to be the newest.
     pub config_age_ms: u64,
+    /// Failure domains in which an operator lets nothing start.
+    pub evacuated_domains: u64,
 }
--- a/crates/fleet/src/messages.rs
+++ b/crates/fleet/src/messages.rs
@@ -129,8 +129,8 @@
     /// The frontend cancelled the request.
     #[display("cancelled")]
     Cancelled,
-    /// The owner no longer holds any of the eligible targets.
-    #[display("owner has released its targets")]
+    /// The owner holds none of the eligible targets, or they are evacuated.
+    #[display("owner has no usable target for it")]
     OwnerUnavailable,
 }
 
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -342,22 +342,19 @@
             return;
         }
         let version = self.evacuations.borrow().version();
-        for (domains, state) in [
+        for (domains, change) in [
             (&difference.evacuated, "evacuated"),
-            (&difference.cancelled, "evacuation cancelled"),
+            (&difference.cancelled, "returns"),
         ] {
             for domain in domains {
                 let target_list = self.target_list.borrow();
                 let targets = target_list.targets().values();
-                let listed: Vec<_> = targets
-                    .filter(|it| domain_id(&it.domain) == *domain)
-                    .collect();
-                let name = listed
-                    .first()
-                    .map_or("without listed targets", |it| &*it.domain);
-                info!(self.log, "failure domain"; "domain" => name, "state" => state,
-                    "id" => domain, "targets" => listed.len(), "version" => version,
-                    "source" => source);
+                let of_domain = targets.filter(|it| domain_id(&it.domain) == *domain);
+                let listed: Vec<_> = of_domain.collect();
+                // A row may name a domain that does not exist.
+                let name = listed.first().map_or("unknown", |it| &*it.domain);
+                info!(self.log, "failure domain {}", change; "domain" => name, "id" => domain,
+                    "targets" => listed.len(), "version" => version, "source" => source);
             }
         }
         self.scheduler.apply_evacuations();
--- a/crates/fleet/src/scheduler/mod.rs
+++ b/crates/fleet/src/scheduler/mod.rs
@@ -252,6 +252,9 @@
                 return RunOutcome::NotStarted(NotStartedReason::OwnerUnavailable);
             }
             if !shared.holds_eligible(&request) {
+                info!(shared.log, "no usable target for a run request"; "task" => %key.0,
+                    "run" => key.1, "eligible" => request.eligible_targets.len(),
+                    "evacuated_domains" => shared.evacuations.borrow().len());
                 return RunOutcome::NotStarted(NotStartedReason::OwnerUnavailable);
             }
             if shared.denied_runs.borrow().contains_key(&key) {
@@ -473,7 +476,8 @@
                     false => NotStartedReason::OwnerUnavailable,
                 };
                 info!(self.log, "task gave up waiting"; "task" => %key.0, "run" => key.1,
-                    "waited_ms" => millis(now - queued.queued_at), "cause" => %reason);
+                    "waited_ms" => millis(now - queued.queued_at), "cause" => %reason,
+                    "evacuated_domains" => self.evacuations.borrow().len());
                 let _ = queued.reply.send(RunOutcome::NotStarted(reason));
             }
         }
