Evacuate domains in the random sessions

Cause: evacuations meet restarts, partitions and lost starts in many orders.

Change: the sessions of seeds from 2,000,000,000 on evacuate domains and cancel that, and submit jobs after all faults have ended; nothing may start in a domain 5 s after its evacuation and the end of the faults. 100 of them are part of each test run.

--- a/crates/fleet/tests/sessions/random.rs
+++ b/crates/fleet/tests/sessions/random.rs
@@ -4,12 +4,13 @@
 //! `SESSION_SEEDS=A-B` runs a range without `B`, on `SESSION_JOBS` threads, to its
 //! end, and prints the violations of each seed. In the sessions of seeds from
 //! [`CRASH_SEEDS`] on, targets also crash, under tasks and by themselves, and their
-//! capacity shrinks and grows.
+//! capacity shrinks and grows. In those from [`EVACUATION_SEEDS`] on, failure domains
+//! are also evacuated and come back.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use bluebellpath_fleet::InjectedFault;
-use bluebellpath_runtime::runtime;
+use bluebellpath_runtime::{Instant, clock, runtime};
 use bluebellpath_standin::Mishap;
 
 use crate::system::{CORES, JobSpec, Layout, System, sleep_ms};
@@ -23,6 +24,18 @@
 /// Number of sessions with crashes in each test run.
 const CRASH_SESSIONS: u64 = 100;
 
+/// First seed of the sessions with evacuations.
+const EVACUATION_SEEDS: u64 = 2_000_000_000;
+
+/// Number of sessions with evacuations in each test run.
+const EVACUATION_SESSIONS: u64 = 100;
+
+/// Mixed into the seed of the evacuations.
+const EVACUATION_SEED: u64 = 0x5eed;
+
+/// Time after which nothing may start in an evacuated domain.
+const EVACUATION_DEADLINE: Duration = Duration::from_millis(5_000);
+
 /// Seed that failed before.
 struct RegressionSeed {
     seed: u64,
@@ -143,6 +156,24 @@
     }
 }
 
+#[test]
+fn no_mix_of_faults_and_evacuations_breaks_a_promise() {
+    for seed in EVACUATION_SEEDS..EVACUATION_SEEDS + EVACUATION_SESSIONS {
+        run_seed(seed);
+    }
+}
+
+#[test]
+fn random_sessions_detect_ignored_evacuations() {
+    let injected_fault = Some(InjectedFault::IgnoreEvacuations);
+    let found = (EVACUATION_SEEDS..EVACUATION_SEEDS + EVACUATION_SESSIONS).find(|seed| {
+        let violations = run_session(*seed, injected_fault);
+        violations.iter().any(|it| it.contains("is evacuated"))
+    });
+    println!("detected by seed {found:?}");
+    assert!(found.is_some(), "the injected fault was not detected");
+}
+
 pub fn parse_number(text: Option<&str>) -> Option<u64> {
     text.and_then(|it| it.parse().ok())
 }
@@ -186,7 +217,12 @@
         let instances = LAYOUT.domains * LAYOUT.instances;
         let targets: Vec<_> = system.targets.list().keys().cloned().collect();
         let mut job = 0;
+        let mut evacuation_rng = Rng(seed ^ EVACUATION_SEED);
+        let mut evacuations = BTreeMap::new();
         for _ in 0..STEPS {
+            if seed >= EVACUATION_SEEDS {
+                change_evacuation(&system, &mut evacuation_rng, &mut evacuations);
+            }
             for _ in 0..rng.below(4) {
                 job += 1;
                 let number = rng.index(instances);
@@ -218,11 +254,47 @@
             system.set_partitioned(&format!("domain-{domain}"), false);
         }
         (0..instances).for_each(|it| system.resume(it));
+        let healed_at = clock::now();
+        // Jobs that would reach an evacuated domain after the deadline.
+        for step in (0..80_u64).filter(|_| seed >= EVACUATION_SEEDS) {
+            let number = usize::try_from(step).expect("small") % instances;
+            let spec = JobSpec {
+                job: 1_000_000 + step,
+                ..JobSpec::default()
+            };
+            if system.is_alive(number) {
+                system.submit(number, spec);
+            }
+            sleep_ms(100).await;
+        }
         sleep_ms(12_000).await;
-        system.violations()
+        let mut violations = system.violations();
+        for (domain, (requested, changed_at)) in evacuations {
+            let due_at = healed_at.max(changed_at) + EVACUATION_DEADLINE;
+            let starts = system.targets.starts_in(&domain);
+            if requested && starts.iter().any(|it| it.0 > due_at) {
+                violations.push(format!("{domain} is evacuated, and a task has started"));
+            }
+        }
+        violations
     })
 }
 
+/// Evacuates a domain from time to time, or cancels that.
+fn change_evacuation(
+    system: &System,
+    rng: &mut Rng,
+    evacuations: &mut BTreeMap<String, (bool, Instant)>,
+) {
+    let domain = format!("domain-{}", rng.below(3));
+    if rng.below(12) > 0 {
+        return;
+    }
+    let before = evacuations.get(&domain).is_some_and(|it| it.0);
+    system.set_evacuated(&domain, !before);
+    evacuations.insert(domain, (!before, clock::now()));
+}
+
 /// Crashes a target, or changes its capacity, from time to time.
 fn inject_crash(system: &System, rng: &mut Rng, targets: &[std::rc::Rc<str>]) {
     let target = &targets[rng.index(targets.len())];
