Keep a run that a new owner may have found until it is stopped there

Cause: an owner that is cut off from a target gives its runs up when its own lease has expired (`poll_loop::handle_no_answer`). An instance that has taken the target over just before renews the lease with its second poll and stops the runs that nobody claims 0.45 s after it found them. In between, the frontend of the cut-off owner starts the task elsewhere.

Change: the owner gives the runs of a silent target up 0.6 s (claim timeout and a stop) after the lease, unless nobody can have taken the target over unnoticed: it is in the owner's own domain and all instances there are heard, or the target refuses connections. An instance that was silent for 30 s counts as gone. So nothing changes while the domain of the target is whole.

Not chosen: a new owner that renews no lease before a claim. After an owner was killed 0.1 to 0.35 s of its lease are left (0.9 s less at most 0.225 s since the last renewal and 0.55 s until it is missed; calculated, not measured), less than the 0.45 s in which a frontend may claim, so runs of a dead owner would be lost.

--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -42,6 +42,10 @@
 /// suspended or starved. Heartbeats that arrived meanwhile are not read yet.
 const STALL_THRESHOLD: Duration = Duration::from_millis(200);
 
+/// Silence after which a peer is taken to be gone rather than unreachable. Several
+/// times the longest backoff after which an owner takes a target over again.
+const GONE_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// State that an instance announces to its peers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -358,6 +362,24 @@
         changes
     }
 
+    /// Whether all peers of the own failure domain are heard, except those that are
+    /// gone. If not, one that is unreachable from here may have taken a target of the
+    /// domain over.
+    ///
+    /// Unlike in [`Membership::expire_silent_peers`], silence counts even while this
+    /// process was suspended, as the peers did not hear it then.
+    pub fn hears_own_domain(&self) -> bool {
+        let now = clock::now();
+        let peers = self.peers.borrow();
+        let mut local = peers
+            .values()
+            .filter(|it| it.heartbeat.domain == self.domain);
+        local.all(|it| {
+            let silence = now - it.received_at;
+            silence <= self.failure_timeout(&it.heartbeat) || silence > GONE_TIMEOUT
+        })
+    }
+
     /// Silence after which the sender of `heartbeat` counts as failed.
     fn failure_timeout(&self, heartbeat: &Heartbeat) -> Duration {
         let period = match heartbeat.domain == self.domain {
--- a/crates/fleet/src/scheduler/mod.rs
+++ b/crates/fleet/src/scheduler/mod.rs
@@ -110,6 +110,8 @@
     denied_runs: RefCell<BTreeMap<RunKey, Instant>>,
     /// Reports on lost targets that were not sent yet, with the frontends of the tasks.
     loss_reports: RefCell<Vec<(LossReport, BTreeSet<SocketAddr>)>>,
+    /// Failure domain whose targets no other instance can have taken over unnoticed.
+    heard_domain: RefCell<Option<Rc<str>>>,
 }
 
 struct QueuedRun {
@@ -137,6 +139,7 @@
             leaving: Cell::new(false),
             denied_runs: RefCell::default(),
             loss_reports: RefCell::default(),
+            heard_domain: RefCell::default(),
         }))
     }
 
@@ -147,6 +150,11 @@
         token_source.get_or_insert_with(|| TokenSource::new(identity));
     }
 
+    /// Sets the failure domain of this instance while it hears all of its peers there.
+    pub fn set_heard_domain(&self, domain: Option<Rc<str>>) {
+        self.0.heard_domain.replace(domain);
+    }
+
     /// Takes over the new ones among `targets`, which this instance should own.
     /// Other targets are released only once their new owner has fenced this
     /// instance off.
--- a/crates/fleet/src/scheduler/poll_loop.rs
+++ b/crates/fleet/src/scheduler/poll_loop.rs
@@ -35,6 +35,9 @@
 /// 4 s, twice the maximum clock difference between instances.
 const MAX_TOKEN_STEPS: u32 = 4;
 
+/// Time in which a new owner stops a run after its claim deadline.
+const STOP_ALLOWANCE: std::time::Duration = std::time::Duration::from_millis(150);
+
 /// Polls a target until it is released.
 pub(super) async fn run(shared: Rc<Shared>, held: Rc<HeldTarget>) {
     let mut token_steps = 0;
@@ -149,8 +152,12 @@
     })
 }
 
-/// Handles a failed poll. Removes all runs once the lease has expired, or if another
-/// incarnation has answered.
+/// Handles a failed poll. Removes all runs once they have ended with the lease, or if
+/// another incarnation has answered.
+///
+/// An owner that is cut off does not learn that another one has taken the target over
+/// and has renewed the lease until it stops the unclaimed runs. A target that refuses
+/// connections has no other owner either.
 fn handle_no_answer(shared: &Rc<Shared>, held: &Rc<HeldTarget>, error: RequestError) {
     let replaced = error == RequestError::Restarted;
     let fate = match error {
@@ -171,7 +178,12 @@
         shared.apply_events(held, events);
         return;
     }
-    if state.runs.is_empty() || clock::now() < state.lease_end {
+    let is_noticed = shared.heard_domain.borrow().as_ref() == Some(&held.target.borrow().domain);
+    let takeover_time = match fate == Fate::Refusing || is_noticed {
+        true => std::time::Duration::ZERO,
+        false => shared.config.claim_timeout + STOP_ALLOWANCE,
+    };
+    if state.runs.is_empty() || clock::now() < state.lease_end + takeover_time {
         let suspicion = match fate {
             Fate::Refusing => state.suspect_runs(loss),
             _ => None,
--- a/crates/fleet/tests/decisions.rs
+++ b/crates/fleet/tests/decisions.rs
@@ -15,7 +15,8 @@
     crash_history::{CrashHistory, Fate, Loss, LossReport, Verdict},
     fencing::{self, TokenSource},
     identity::{Claim, Claimed, Identity, StoredIdentity},
-    messages::Load,
+    membership::{self, Heartbeat, Membership},
+    messages::{ClockReading, Load},
     owner_selection::{self, Demand, Distance, Owner},
     ownership::{Assignment, Candidate},
     placement,
@@ -770,3 +771,80 @@
         assert_eq!(tasks(&history), 0);
     });
 }
+
+fn heartbeat(number: u16, domain: &str) -> Heartbeat {
+    Heartbeat {
+        name: format!("entry-{number}").into(),
+        incarnation: 1,
+        clocks: ClockReading::now(),
+        sequence: clock::now().as_nanos(),
+        domain: domain.into(),
+        address: address(number),
+        weight: 1,
+        leaving: false,
+        load: Load::default(),
+        target_short_ids: Vec::new(),
+        newest_config: Default::default(),
+        remote_period: 2,
+        identity: None,
+        recipient_identity: None,
+    }
+}
+
+/// Guards against an owner that gives up the runs of a silent target while an instance
+/// that it does not hear may keep them alive, and against one that waits for an instance
+/// that is gone for good.
+#[test]
+fn a_silent_peer_may_have_taken_targets_over_until_it_is_gone() {
+    struct Case {
+        name: &'static str,
+        domain: &'static str,
+        silence_ms: u64,
+        heard: bool,
+    }
+    const CASES: [Case; 5] = [
+        Case {
+            name: "heard just now",
+            domain: "domain-0",
+            silence_ms: 100,
+            heard: true,
+        },
+        Case {
+            name: "silent for the failure timeout",
+            domain: "domain-0",
+            silence_ms: 560,
+            heard: false,
+        },
+        Case {
+            name: "silent for a few backoffs",
+            domain: "domain-0",
+            silence_ms: 29_000,
+            heard: false,
+        },
+        Case {
+            name: "gone",
+            domain: "domain-0",
+            silence_ms: 31_000,
+            heard: true,
+        },
+        Case {
+            name: "silent in another domain",
+            domain: "domain-1",
+            silence_ms: 5_000,
+            heard: true,
+        },
+    ];
+    for case in CASES {
+        runtime::paused(async move {
+            let config = membership::Config {
+                heartbeat_interval: ms(100),
+                failure_timeout: ms(550),
+            };
+            let membership = Membership::new("entry-0".into(), "domain-0".into(), config);
+            membership.record_heartbeat(heartbeat(1, case.domain));
+            clock::sleep(ms(case.silence_ms)).await;
+            membership.record_heartbeat(heartbeat(2, "domain-0"));
+            assert_eq!(membership.hears_own_domain(), case.heard, "{}", case.name);
+        });
+    }
+}
