--- a/crates/fleet/tests/sessions/crashes.rs
+++ b/crates/fleet/tests/sessions/crashes.rs
@@ -1,12 +1,12 @@
 //! Tasks that crash every target that starts them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use bluebellpath_fleet::{InjectedFault, frontend::Answer};
+use bluebellpath_fleet::{InjectedFault, TaskId, frontend::Answer};
 use bluebellpath_runtime::runtime;
 use bluebellpath_standin::Mishap;
 
-use crate::system::{JobSpec, Layout, System, sleep_ms};
+use crate::system::{JobSpec, Layout, SMALL, System, sleep_ms};
 
 const LAYOUT: Layout = Layout {
     domains: 2,
@@ -236,3 +236,83 @@
         system.assert_no_violations();
     });
 }
+
+/// Guards against a suspect that takes its neighbours along with a second crash: one that
+/// is started beside other tasks, or that gets company later.
+#[test]
+fn a_suspect_runs_alone_on_its_target() {
+    const JOBS: u64 = 150;
+    runtime::paused(async {
+        let system = System::start(SMALL).await;
+        let first = JobSpec {
+            tasks: 6,
+            cores: 20,
+            run_ms: 2_000,
+            deadline_ms: 20_000,
+            ..JobSpec::default()
+        };
+        system.submit(0, first);
+        sleep_ms(300).await;
+        let running = system.targets.running();
+        let (crashed, ..) = running.first().expect("the first job runs").clone();
+        let suspects = running.iter().filter(|it| it.0 == crashed);
+        let suspects: BTreeSet<TaskId> = suspects.map(|it| it.1).collect();
+        system.targets.crash(&crashed);
+        let mut seen = BTreeSet::new();
+        for job in 2..2 + JOBS {
+            // Small tasks, for which there is room beside a suspect.
+            let small = JobSpec {
+                job,
+                tasks: 1,
+                cores: 10,
+                run_ms: 300,
+                ..JobSpec::default()
+            };
+            system.submit(usize::try_from(job % 4).expect("small"), small);
+            for _ in 0..8 {
+                sleep_ms(5).await;
+                let running = system.targets.running();
+                for (target, task, _) in running.iter().filter(|it| suspects.contains(&it.1)) {
+                    let company = running.iter().filter(|it| it.0 == *target && it.1 != *task);
+                    let company: Vec<_> = company.map(|it| it.1.to_string()).collect();
+                    assert!(company.is_empty(), "{task} beside {company:?}");
+                    seen.insert(*task);
+                }
+            }
+        }
+        assert!(suspects.len() > 1, "several tasks were on the target");
+        assert_eq!(seen, suspects, "the suspects run again");
+        system.assert_no_violations();
+    });
+}
+
+/// Guards against a task that is given up because its targets ended as planned.
+#[test]
+fn a_target_that_has_announced_its_end_is_not_counted_against_its_tasks() {
+    /// Ends of targets, more than a task survives if they count as crashes.
+    const ENDS: u32 = 3;
+    runtime::paused(async {
+        let system = System::start(SMALL).await;
+        let spec = JobSpec {
+            tasks: 1,
+            run_ms: 6_000,
+            deadline_ms: 40_000,
+            ..JobSpec::default()
+        };
+        system.submit(0, spec);
+        for _ in 0..ENDS {
+            sleep_ms(300).await;
+            let running = system.targets.running();
+            let (target, ..) = running.first().expect("the task runs").clone();
+            system.targets.drain(&target);
+            // Until the owner has read the list.
+            sleep_ms(2_200).await;
+            system.targets.crash(&target);
+            sleep_ms(1_500).await;
+        }
+        sleep_ms(8_000).await;
+        assert_eq!(system.answer(1), Some(Answer::Completed));
+        assert_eq!(system.started_runs(1), ENDS + 1);
+        system.assert_no_violations();
+    });
+}
