--- a/crates/fleet/src/scheduler/mod.rs
+++ b/crates/fleet/src/scheduler/mod.rs
@@ -123,6 +123,8 @@
     loss_reports: RefCell<Vec<(LossReport, BTreeSet<SocketAddr>)>>,
     lost_answers: RefCell<LostAnswers>,
     start_delays: RefCell<StartDelays>,
+    /// Failure domain whose targets no other instance can have taken over unnoticed.
+    heard_domain: RefCell<Option<Rc<str>>>,
 }
 
 struct QueuedRun {
@@ -158,6 +160,7 @@
             loss_reports: RefCell::default(),
             lost_answers: RefCell::default(),
             start_delays: RefCell::default(),
+            heard_domain: RefCell::default(),
         }))
     }
 
@@ -168,6 +171,11 @@
         token_source.get_or_insert_with(|| TokenSource::new(identity));
     }
 
+    /// Sets the failure domain of this instance while it hears all of its peers there.
+    pub fn set_heard_domain(&self, domain: Option<Rc<str>>) {
+        self.0.heard_domain.replace(domain);
+    }
+
     /// Takes over the new ones among `targets`, which this instance should own.
     /// Other targets are released only once their new owner has fenced this
     /// instance off.
