--- a/crates/fleet/src/evacuation.rs
+++ b/crates/fleet/src/evacuation.rs
@@ -26,8 +26,8 @@
 const MAX_ANNOUNCED_DOMAINS: usize = 8;
 
 /// Shares of the targets of a domain, in thousandths, that are used from these times
-/// after the cancellation on. At each step at most as many cold targets are added as
-/// are in use already, after the first.
+/// after the cancellation on. A step adds no more cold targets than are in use already.
+/// Not measured on cold targets.
 const RETURN_STEPS: [(Duration, u32); 4] = [
     (Duration::ZERO, 250),
     (Duration::from_secs(1), 500),
@@ -35,6 +35,9 @@
     (Duration::from_secs(3), 1_000),
 ];
 
+/// Share of all targets of a domain, in thousandths.
+const EVERY_TARGET: u32 = 1_000;
+
 /// Number that stands for the failure domain `name` in messages between instances.
 pub fn domain_id(name: &str) -> u32 {
     Target::short_id(name)
@@ -224,9 +227,6 @@
     }
 }
 
-/// Share of all targets in thousandths.
-const EVERY_TARGET: u32 = 1_000;
-
 /// Share of the targets of a domain, in thousandths, that are used at this time after
 /// the cancellation of its evacuation.
 pub fn used_permille(elapsed: Duration) -> u32 {
