--- a/crates/fleet/tests/sessions/main.rs
+++ b/crates/fleet/tests/sessions/main.rs
@@ -430,6 +430,32 @@
     });
 }
 
+/// Guards against a wait for a new owner of a silent target where no instance can have
+/// taken it over.
+#[test]
+fn the_loss_of_a_target_is_noticed_with_its_lease_while_its_domain_is_whole() {
+    /// Lease with its margins (986 ms), a poll without an answer (301 ms), the delay
+    /// before the next one (50 ms), and the way of the new start.
+    const NOTICED_WITHIN_MS: u64 = 1_350;
+    for offset_ms in (300..600).step_by(40) {
+        runtime::paused(async move {
+            let system = System::start(SMALL).await;
+            let spec = JobSpec {
+                tasks: 1,
+                run_ms: 3_000,
+                ..JobSpec::default()
+            };
+            system.submit(0, spec);
+            sleep_ms(offset_ms).await;
+            let (target, ..) = system.targets.running()[0].clone();
+            system.targets.set_mishap(&target, Mishap::Dark);
+            sleep_ms(NOTICED_WITHIN_MS).await;
+            assert_eq!(system.started_runs(1), 2, "silent after {offset_ms} ms");
+            system.assert_no_violations();
+        });
+    }
+}
+
 #[test]
 fn a_partitioned_domain_keeps_its_targets_and_serves_jobs() {
     runtime::paused(async {
