Reserve a target for a task that fits nowhere yet

Cause: about half of all pairs of tasks do not fit on one target together, and a task that fitted nowhere was passed over. Smaller tasks behind it, also those of lower priority, took each hole before it was large enough.

Change: such a task reserves the target that will have room for it first, if it can then still be in time. Tasks behind it start there only if they are expected to end before or fit beside it. A task that can only be late reserves nothing. The new session test, one target under a stream of small tasks, fails without reservations.

--- a/crates/fleet/src/forecast.rs
+++ b/crates/fleet/src/forecast.rs
@@ -24,6 +24,16 @@
     pub expected_end: Instant,
 }
 
+impl Occupancy {
+    /// Expected end as seen at `now`.
+    fn end(&self, now: Instant) -> Instant {
+        match self.expected_end > now {
+            true => self.expected_end,
+            false => now + OVERRUN_ALLOWANCE,
+        }
+    }
+}
+
 /// Returns the earliest time at which `required` fits, if nothing else starts before.
 /// `None` if it exceeds the capacity.
 pub fn time_to_fit(
@@ -40,10 +50,12 @@
     runs.sort_by_key(|it| it.expected_end);
     runs.iter().find_map(|it| {
         free = free.saturating_add(it.resources);
-        let end = match it.expected_end > now {
-            true => it.expected_end,
-            false => now + OVERRUN_ALLOWANCE,
-        };
-        required.fits_in(free).then_some(end)
+        required.fits_in(free).then_some(it.end(now))
     })
 }
+
+/// Returns the resources that are free at `at`, if nothing else starts before.
+pub fn free_at(free: Resources, runs: &[Occupancy], at: Instant, now: Instant) -> Resources {
+    let ended = runs.iter().filter(|it| it.end(now) <= at);
+    ended.fold(free, |free, it| free.saturating_add(it.resources))
+}
--- a/crates/fleet/src/scheduler/mod.rs
+++ b/crates/fleet/src/scheduler/mod.rs
@@ -36,9 +36,11 @@
     circuit_breaker,
     crash_history::{Fate, LossReport},
     fencing::TokenSource,
+    forecast::Occupancy,
     identity::Identity,
     messages::{Load, NotStartedReason, RunOutcome, RunRequest},
     placement::{self, Candidate},
+    reservation::{Reservations, Room},
     target_client::{ExitStatus, TargetClient},
 };
 
@@ -636,6 +638,7 @@
         let now = clock::now();
         let startable = self.startable_targets();
         let free: Vec<_> = startable.iter().map(|it| it.free_resources()).collect();
+        let mut reservations = Reservations::new(startable.len());
         backlog.scan(now).find_map(|(position, queued)| {
             let request = &queued.request;
             let goal = position.start_by - now + Duration::from_millis(request.estimate_ms.into());
@@ -652,11 +655,55 @@
                 };
                 (index, candidate)
             });
-            let chosen = placement::choose(request.resources, goal, candidates)?;
-            Some((position, startable[chosen].clone()))
+            let candidates = candidates.filter(|(index, it)| {
+                reservations.allow(*index, request.resources, now + it.expected_run_time)
+            });
+            match placement::choose(request.resources, goal, candidates) {
+                Some(chosen) => Some((position, startable[chosen].clone())),
+                None => {
+                    self.reserve(&mut reservations, &startable, position, request, now);
+                    None
+                }
+            }
         })
     }
 
+    /// Reserves a target for a task that fits nowhere yet.
+    fn reserve(
+        &self,
+        reservations: &mut Reservations,
+        startable: &[Rc<HeldTarget>],
+        position: Position,
+        request: &RunRequest,
+        now: Instant,
+    ) {
+        if position.start_by < now || reservations.is_full() {
+            return;
+        }
+        let rooms = startable.iter().enumerate().filter_map(|(index, held)| {
+            is_eligible(held, request).then_some(())?;
+            Some((index, self.room(held)?))
+        });
+        reservations.reserve(request.resources, position.start_by, rooms, now);
+    }
+
+    /// Room on a target, now and when the runs there end. `None` if the needs of a run
+    /// are unknown.
+    fn room(&self, held: &HeldTarget) -> Option<Room> {
+        let free = held.free_resources();
+        let state = held.state.borrow();
+        let target = held.target.borrow();
+        let occupancies = state.runs.values().map(|run| {
+            let request = run.request.as_ref().filter(|it| !it.exclusive)?;
+            Some(Occupancy {
+                resources: request.resources,
+                expected_end: run.started_at + self.estimate_run_time(&target, &state, request),
+            })
+        });
+        let runs = occupancies.collect::<Option<Vec<_>>>()?;
+        Some(Room { free, runs })
+    }
+
     fn estimate_run_time(
         &self,
         target: &Target,
--- a/crates/fleet/tests/decisions.rs
+++ b/crates/fleet/tests/decisions.rs
@@ -14,12 +14,14 @@
     circuit_breaker::CircuitBreaker,
     crash_history::{CrashHistory, Fate, Loss, LossReport, Verdict},
     fencing::{self, TokenSource},
+    forecast::Occupancy,
     identity::{Claim, Claimed, Identity, StoredIdentity},
     messages::Load,
     owner_selection::{self, Demand, Distance, Owner},
     ownership::{Assignment, Candidate},
     placement,
     read_schedule::Schedule,
+    reservation::{Reservations, Room},
     run_time::Estimator,
     target_list::TargetList,
 };
@@ -445,6 +447,132 @@
     }
 }
 
+/// Cores without other resources.
+fn only_cores(cores: u32) -> Resources {
+    Resources {
+        cpu: cores * 1_000,
+        ..Resources::default()
+    }
+}
+
+/// Target with these free cores and runs, each with its cores and expected end.
+fn room(free: u32, runs: &[(u32, u64)]) -> Room {
+    let runs = runs.iter().map(|&(cores, end_ms)| Occupancy {
+        resources: only_cores(cores),
+        expected_end: at(end_ms),
+    });
+    Room {
+        free: only_cores(free),
+        runs: runs.collect(),
+    }
+}
+
+#[test]
+fn a_task_that_fits_nowhere_reserves_the_first_target_with_room() {
+    struct Case {
+        what: &'static str,
+        cores: u32,
+        start_by: u64,
+        targets: Vec<Room>,
+        reserved: Option<(usize, u64)>,
+    }
+    let two = || vec![room(4, &[(12, 300), (16, 900)]), room(8, &[(24, 200)])];
+    let cases = [
+        Case {
+            what: "the one that has room first",
+            cores: 16,
+            start_by: 500,
+            targets: two(),
+            reserved: Some((1, 200)),
+        },
+        Case {
+            what: "a run past its expected end ends soon",
+            cores: 16,
+            start_by: 500,
+            targets: vec![room(8, &[(24, 200)]), room(8, &[(24, 50)])],
+            reserved: Some((1, 120)),
+        },
+        Case {
+            what: "a task that can only be late reserves nothing",
+            cores: 16,
+            start_by: 199,
+            targets: two(),
+            reserved: None,
+        },
+        Case {
+            what: "too large for all",
+            cores: 40,
+            start_by: 5_000,
+            targets: two(),
+            reserved: None,
+        },
+    ];
+    for case in cases {
+        let mut reservations = Reservations::new(case.targets.len());
+        let targets = case.targets.into_iter().enumerate();
+        let reserved =
+            reservations.reserve(only_cores(case.cores), at(case.start_by), targets, at(100));
+        let expected = case.reserved.map(|(index, start_ms)| (index, at(start_ms)));
+        assert_eq!(reserved, expected, "{}", case.what);
+    }
+}
+
+#[test]
+fn tasks_start_on_a_reserved_target_only_if_they_do_not_delay_it() {
+    let targets = || vec![room(8, &[(24, 200)]), room(8, &[(24, 400)])].into_iter();
+    let mut reservations = Reservations::new(2);
+    let start = |reservations: &mut Reservations, cores, start_by| {
+        let targets = targets().enumerate();
+        reservations.reserve(only_cores(cores), at(start_by), targets, at(100))
+    };
+    assert_eq!(start(&mut reservations, 28, 900), Some((0, at(200))));
+    struct Case {
+        what: &'static str,
+        target: usize,
+        cores: u32,
+        end: u64,
+        allowed: bool,
+    }
+    let cases = [
+        Case {
+            what: "ends before the reserved start",
+            target: 0,
+            cores: 8,
+            end: 200,
+            allowed: true,
+        },
+        Case {
+            what: "would delay the reserved start",
+            target: 0,
+            cores: 8,
+            end: 201,
+            allowed: false,
+        },
+        Case {
+            what: "fits beside the reserved task",
+            target: 0,
+            cores: 4,
+            end: 5_000,
+            allowed: true,
+        },
+        Case {
+            what: "the target is not reserved",
+            target: 1,
+            cores: 8,
+            end: 5_000,
+            allowed: true,
+        },
+    ];
+    for case in cases {
+        let allowed = reservations.allow(case.target, only_cores(case.cores), at(case.end));
+        assert_eq!(allowed, case.allowed, "{}", case.what);
+    }
+    let second = start(&mut reservations, 16, 900);
+    assert_eq!(second, Some((1, at(400))), "each task reserves another");
+    assert!(reservations.is_full());
+    assert_eq!(start(&mut reservations, 16, 900), None);
+}
+
 #[test]
 fn placement_chooses_the_tightest_target_that_meets_the_goal() {
     struct Case {
--- a/crates/fleet/tests/sessions/waiting.rs
+++ b/crates/fleet/tests/sessions/waiting.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use bluebellpath_fleet::frontend::{Answer, Submission};
-use bluebellpath_runtime::{clock, runtime};
+use bluebellpath_runtime::{clock, runtime, spawn};
 
-use crate::system::{JobSpec, SMALL, System, sleep_ms};
+use futures_util::future::join;
+
+use crate::system::{JobSpec, Layout, SMALL, System, sleep_ms};
 
 /// Job that occupies all targets of [`SMALL`] for `run_ms` milliseconds.
 fn occupant(run_ms: u64) -> JobSpec {
@@ -52,3 +54,59 @@
         system.assert_no_violations();
     });
 }
+
+/// Guards against a wide urgent task that smaller tasks of lower priority overtake for
+/// as long as they arrive.
+#[test]
+fn a_wide_task_is_not_overtaken_by_smaller_ones() {
+    runtime::paused(async {
+        let layout = Layout {
+            domains: 1,
+            instances: 1,
+            targets: 1,
+        };
+        let system = System::start(layout).await;
+        let node = &system.instances[0].node;
+        let submit_small = async {
+            for job in 100..150 {
+                // One ends before the next arrives, so at least one is always running.
+                // The goal is long enough for admission behind the wide task.
+                let small = Submission {
+                    latency_goal: Duration::from_secs(1),
+                    ..JobSpec {
+                        job,
+                        tasks: 1,
+                        cores: 24,
+                        run_ms: 90,
+                        ..JobSpec::default()
+                    }
+                    .submission()
+                };
+                let frontend = node.frontend().clone();
+                drop(spawn(async move { frontend.submit(small).await }));
+                sleep_ms(50).await;
+            }
+        };
+        let submit_wide = async {
+            sleep_ms(300).await;
+            let submission = Submission {
+                priority: 0,
+                ..JobSpec {
+                    tasks: 1,
+                    cores: 48,
+                    run_ms: 400,
+                    ..JobSpec::default()
+                }
+                .submission()
+            };
+            let goal = submission.latency_goal;
+            let submitted_at = clock::now();
+            let answer = node.frontend().submit(submission).await;
+            let took = clock::now() - submitted_at;
+            assert_eq!(answer, Answer::Completed);
+            assert!(took <= goal, "{took:?} with a goal of {goal:?}");
+        };
+        join(submit_small, submit_wide).await;
+        system.assert_no_violations();
+    });
+}
