--- a/crates/fleet/src/scheduler/mod.rs
+++ b/crates/fleet/src/scheduler/mod.rs
@@ -43,7 +43,7 @@
     messages::{Load, NotStartedReason, RunOutcome, RunRequest},
     placement::{self, Candidate},
     reservation::{self, Reservations},
-    room::{Room, TargetRoom},
+    room::{ArrivalRate, Room, TargetRoom},
     start_delay::StartDelays,
     target_client::{ExitStatus, TargetClient},
 };
@@ -110,6 +110,8 @@
     held_targets: RefCell<BTreeMap<Rc<str>, Rc<HeldTarget>>>,
     backlog: RefCell<Backlog<QueuedRun>>,
     backlog_positions: RefCell<HashMap<RunKey, Position>>,
+    /// Rates of the arriving work by priority.
+    arrival_rates: RefCell<BTreeMap<u8, ArrivalRate>>,
     /// Targets held by another owner, with the end of the backoff and its duration.
     backoffs: RefCell<BTreeMap<Rc<str>, (Instant, Duration)>>,
     /// Time at which the backoffs were last checked for expiry.
@@ -153,6 +155,7 @@
             held_targets: RefCell::default(),
             backlog: RefCell::default(),
             backlog_positions: RefCell::default(),
+            arrival_rates: RefCell::default(),
             backoffs: RefCell::default(),
             backoff_checked_at: Cell::new(clock::now()),
             leaving: Cell::new(false),
@@ -296,6 +299,7 @@
                 reply,
                 request,
             };
+            shared.record_arrival(&queued.request, now);
             shared.enqueue(key, now + goal.saturating_sub(estimate), queued);
             shared.dispatch();
             guard.finish(outcome.await)
@@ -401,6 +405,12 @@
         for (priority, delay) in start_delays {
             load.set_start_delay(priority, delay);
         }
+        for (priority, arrival_rate) in &*self.0.arrival_rates.borrow() {
+            let cores = arrival_rate.cores(now);
+            if cores > 0 {
+                load.set_arriving_cores(*priority, cores);
+            }
+        }
         load
     }
 
@@ -581,6 +591,12 @@
         self.backlog_positions.borrow_mut().insert(key, position);
     }
 
+    fn record_arrival(&self, request: &RunRequest, now: Instant) {
+        let mut arrival_rates = self.arrival_rates.borrow_mut();
+        let arrival_rate = arrival_rates.entry(request.priority).or_default();
+        arrival_rate.record(work_core_ms(request), now);
+    }
+
     /// Returns a run to the backlog whose start certainly had no effect.
     fn requeue(&self, key: RunKey, run: Run) {
         let (Some(request), Some(reply)) = (run.request, run.reply) else {
