--- a/crates/bluebellpath/src/metric/meters.rs
+++ b/crates/bluebellpath/src/metric/meters.rs
@@ -181,6 +181,13 @@
                 "Starts outside the rack of the data because it was busy",
             ),
         ),
+        (
+            |it| it.evacuated_domains,
+            gauge(
+                "evacuated_domains",
+                "Failure domains in which nothing may be started",
+            ),
+        ),
     ]
 }
 
--- a/crates/bluebellpath/src/metric/sample.rs
+++ b/crates/bluebellpath/src/metric/sample.rs
@@ -31,4 +31,6 @@
     pub starts_waited: u64,
     /// Starts so far outside the rack of the data because it was busy.
     pub starts_spilled: u64,
+    /// Failure domains in which an operator lets nothing start.
+    pub evacuated_domains: u64,
 }
--- a/crates/fleet/src/frontend/mod.rs
+++ b/crates/fleet/src/frontend/mod.rs
@@ -33,12 +33,14 @@
 
 use crate::{
     InjectedFault, JobId, Resources, Target, TaskId,
-    admission::{self, Decision, Estimate},
+    admission::{self, Decision, Estimate, StepDemand},
     crash_history::{CrashHistory, LossReport, Verdict},
     membership::{CallError, Membership, Peer, Reply, Request, Transport},
     messages::{ClockReading, NotStartedReason, RunOutcome, RunRequest},
     owner_selection::{self, Demand, Distance, Owner},
+    room::Forecast,
     scheduler::{DropPolicy, Scheduler},
+    start_delay,
     target_list::TargetList,
 };
 
@@ -72,9 +74,6 @@
 /// Number of runs that one task may use.
 const MAX_RUNS_PER_TASK: u32 = 64;
 
-/// Millicores per core.
-const MILLICORES: u32 = 1_000;
-
 /// Identity and timing of a frontend.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -381,41 +380,51 @@
     }
 
     fn admit(&self, submission: &Submission) -> Decision {
-        let mut owners = self.owner_candidates().0;
-        let mut wait = Duration::ZERO;
-        let mut run_time = Duration::ZERO;
-        for step in submission
-            .steps
+        let owners = self.owner_candidates().0;
+        let steps: Vec<StepDemand<'_>> = (submission.steps.iter())
+            .map(|it| StepDemand {
+                tasks: it.task_count,
+                cpu: it.resources.cpu,
+                run_time: it.estimate,
+                dependencies: &it.dependencies,
+            })
+            .collect();
+        let cpu = steps.iter().map(|it| it.cpu).max().unwrap_or_default();
+        let usable = owners.iter().filter(|it| it.reachable);
+        let mut forecasts: Vec<Forecast> = usable
+            .map(|it| Forecast::new(&it.load, it.load_age, submission.priority, cpu))
+            .collect();
+        let run_time = steps.iter().map(|it| it.run_time).max().unwrap_or_default();
+        let expected = admission::expect(&steps, &mut forecasts);
+        // Without room anywhere the job waits for it, until its deadline. Targets that
+        // are all blocked may still be used.
+        let any_cores = owners
             .iter()
-            .filter(|it| it.dependencies.is_empty())
-        {
-            run_time = run_time.max(step.estimate);
-            for _ in 0..step.task_count {
-                let demand = Demand {
-                    cores: cores(step.resources),
-                    run_time: step.estimate,
-                    priority: submission.priority,
-                };
-                let chosen = owner_selection::choose(demand, &mut owners);
-                // Without any owner the job waits for one, until its deadline.
-                let (_, expected) = chosen.unwrap_or((0, submission.deadline));
-                wait = wait.max(expected);
-            }
-        }
+            .any(|it| it.reachable && it.load.total_cores > 0);
+        let unknown = match any_cores {
+            true => (Duration::ZERO, run_time),
+            false => (submission.deadline, submission.deadline + run_time),
+        };
+        let (wait, end) = expected.unwrap_or(unknown);
+        let tasks = steps.iter().map(|it| it.tasks).max().unwrap_or_default();
+        let reachable = owners.iter().filter(|it| it.reachable);
+        let measured = reachable.flat_map(|it| it.load.start_delays());
+        let delay = start_delay::expected_delay(submission.priority, tasks, measured);
+        let end = end.max(delay + run_time);
         let useful_time = submission.latency_goal * ADMISSION_GOAL_PERCENT / 100;
         let mut time_limit = useful_time.min(submission.deadline);
         if let Some(at) = self.answer_by.get() {
             time_limit = time_limit.min(at - clock::now());
         }
         let estimate = Estimate {
-            wait,
-            run_time,
+            wait: wait.max(delay),
+            end,
             time_limit,
         };
         let decision = admission::decide(estimate);
         if let Decision::Refuse(retry) = decision {
             info!(self.log, "job refused at its arrival"; "job" => %submission.job,
-                "wait_ms" => millis(wait), "run_ms" => millis(run_time), "limit_ms" => millis(time_limit),
+                "wait_ms" => millis(wait), "delay_ms" => millis(delay), "end_ms" => millis(end), "limit_ms" => millis(time_limit),
                 "owners" => owners.len(), "oldest_load_ms" => millis(self.membership.oldest_load_age()),
                 "retry_ms" => millis(retry));
         }
@@ -714,7 +723,7 @@
     fn choose_owner(&self, run_request: &RunRequest) -> Option<SocketAddr> {
         let (mut owners, addresses) = self.owner_candidates();
         let demand = Demand {
-            cores: cores(run_request.resources),
+            cpu: run_request.resources.cpu,
             run_time: Duration::from_millis(run_request.estimate_ms.into()),
             priority: run_request.priority,
         };
@@ -722,11 +731,25 @@
         let address = addresses[index];
         if address != self.config.address {
             self.membership
-                .update_load(address, owners[index].load.clone());
+                .extend_load(address, owners[index].load.clone());
         }
         Some(address)
     }
 
+    /// Whether all of these targets are known to be evacuated.
+    fn is_evacuated(&self, short_ids: &[u32], now: Instant) -> bool {
+        let evacuations = self.scheduler.evacuations();
+        if evacuations.is_empty() || short_ids.is_empty() {
+            return false;
+        }
+        let target_list = self.target_list.borrow();
+        let is_evacuated = |short_id: &u32| {
+            let target = target_list.find(*short_id);
+            target.is_some_and(|it| !evacuations.allows(&it.domain, *short_id, now))
+        };
+        short_ids.iter().all(is_evacuated)
+    }
+
     fn owner_candidates(&self) -> (Vec<Owner>, Vec<SocketAddr>) {
         let now = clock::now();
         self.failing_peers
@@ -736,6 +759,7 @@
         let mut owners = vec![Owner {
             distance: Distance::Local,
             load: Rc::new(self.scheduler.load()),
+            load_age: Duration::ZERO,
             reachable: true,
         }];
         let mut addresses = vec![self.config.address];
@@ -747,7 +771,10 @@
                     false => Distance::OtherDomain,
                 },
                 load: peer.load,
-                reachable: !heartbeat.leaving && !failing_peers.contains_key(&heartbeat.address),
+                load_age: now - peer.load_at,
+                reachable: !heartbeat.leaving
+                    && !failing_peers.contains_key(&heartbeat.address)
+                    && !self.is_evacuated(&heartbeat.target_short_ids, now),
             });
             addresses.push(heartbeat.address);
         }
@@ -815,10 +842,6 @@
     }
 }
 
-fn cores(resources: Resources) -> u16 {
-    u16::try_from(resources.cpu.div_ceil(MILLICORES)).unwrap_or(u16::MAX)
-}
-
 fn millis_u32(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/fleet/src/injected_fault.rs
+++ b/crates/fleet/src/injected_fault.rs
@@ -17,8 +17,14 @@
     SharedIdentity,
     /// Run requests for an earlier process are executed.
     AcceptForeignRequest,
+    /// A run is started on a target that the owner lost since the request was sent.
+    StartAfterLoss,
     /// Tasks that crash their targets are run like others.
     IgnoreCrashes,
     /// An older configuration replaces a newer one.
     AcceptOlderConfig,
+    /// Tasks are started on targets of evacuated domains.
+    IgnoreEvacuations,
+    /// An older set of evacuated domains replaces a newer one.
+    AcceptOlderEvacuations,
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,10 +16,12 @@
 * [`node`]: one instance, assembled from these.
 * [`table_watch`]: watches on the platform's tables.
 * [`target_list`], [`config`]: the listed targets, and the queues in force.
+* [`evacuation`]: the failure domains in which nothing may start.
 * [`crash_history`]: the tasks that were running on targets which were lost.
 * [`membership`]: the other instances, their load and whether they are alive.
-* [`owner_selection`], [`backlog`], [`placement`], [`forecast`], [`admission`], [`run_time`],
-  [`circuit_breaker`], [`read_schedule`]: decisions without I/O.
+* [`owner_selection`], [`backlog`], [`reservation`], [`placement`], [`forecast`],
+  [`room`], [`start_delay`], [`admission`], [`run_time`], [`circuit_breaker`],
+  [`lost_answers`], [`read_schedule`]: decisions without I/O.
 
 This crate does no I/O of its own: it reaches targets through
 [`target_client::TargetClient`], instances through [`membership::Transport`] and the
@@ -27,6 +29,7 @@
 */
 
 pub mod admission;
+pub mod evacuation;
 pub mod target_list;
 pub mod config;
 pub mod crash_history;
@@ -34,6 +37,9 @@
 pub mod identity;
 pub mod table_watch;
 pub mod forecast;
+pub mod lost_answers;
+pub mod room;
+pub mod start_delay;
 pub mod owner_selection;
 pub mod frontend;
 pub mod scheduler;
@@ -43,6 +49,7 @@
 pub mod ownership;
 mod injected_fault;
 pub mod backlog;
+pub mod reservation;
 mod resource;
 pub mod placement;
 pub mod run_time;
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -25,6 +25,7 @@
     JobId, TaskId,
     config::Observation,
     crash_history::LossReport,
+    evacuation::Evacuations,
     identity::Identity,
     messages::{ClockReading, Load, RunOutcome, RunRequest},
     ownership::{Assignment, Candidate},
@@ -68,6 +69,8 @@
     pub target_short_ids: Vec<u32>,
     /// Newest configuration that it knows.
     pub newest_config: Observation,
+    /// Evacuated domains that it knows.
+    pub evacuations: Evacuations,
     /// Number of heartbeat intervals in which each peer of another domain gets one
     /// heartbeat.
     pub remote_period: u16,
@@ -169,6 +172,8 @@
     pub heartbeat: Rc<Heartbeat>,
     /// Load of its targets as last known.
     pub load: Rc<Load>,
+    /// When the load arrived.
+    pub load_at: Instant,
     /// When the last heartbeat arrived.
     pub received_at: Instant,
     candidate: Candidate,
@@ -326,6 +331,7 @@
             heartbeat: Rc::new(heartbeat),
             load,
             candidate,
+            load_at: clock::now(),
             received_at: clock::now(),
             alive: true,
         };
@@ -474,6 +480,16 @@
             .find(|it| it.heartbeat.address == address);
         if let Some(peer) = peer {
             peer.load = load;
+            peer.load_at = clock::now();
+        }
+    }
+
+    /// Adds work that is about to be sent to the peer at `address` to its load.
+    pub fn extend_load(&self, address: SocketAddr, load: Rc<Load>) {
+        let mut peers = self.peers.borrow_mut();
+        let mut peers = peers.values_mut();
+        if let Some(peer) = peers.find(|it| it.heartbeat.address == address) {
+            peer.load = load;
         }
     }
 
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -320,7 +320,8 @@
             };
             let bound = gain.min(goal_slack).min(last_start);
             let end = opening.end_after(now, bound, run_time, start_run_time);
-            (end < start_run_time).then_some((end, place, opening, bound))
+            let pays_off = end < start_run_time && opening.latest > now;
+            pays_off.then_some((end, place, opening, bound))
         });
         let (_, place, opening, bound) = better.min_by_key(|it| it.0)?;
         let wait = Wait {
--- a/crates/fleet/src/scheduler/mod.rs
+++ b/crates/fleet/src/scheduler/mod.rs
@@ -18,7 +18,7 @@
 mod wait_or_start;
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Cell, Ref, RefCell},
     collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     rc::Rc,
@@ -39,10 +39,16 @@
     backlog::{Backlog, Position},
     circuit_breaker,
     crash_history::{Fate, LossReport},
+    evacuation::EvacuationState,
     fencing::TokenSource,
+    forecast::Occupancy,
     identity::Identity,
+    lost_answers::LostAnswers,
     messages::{Load, NotStartedReason, RunOutcome, RunRequest},
-    placement::{self, Wait},
+    placement::{self, Decision, Wait},
+    reservation::{self, Reservations},
+    room::{Room, TargetRoom},
+    start_delay::StartDelays,
     target_client::{ExitStatus, TargetClient},
 };
 
@@ -62,6 +68,10 @@
 /// request from a frontend may be in transit.
 const DENY_DURATION: Duration = Duration::from_secs(10);
 
+/// Shortest time for which a task may wait, so that each gets one attempt to start.
+/// The frontend sends a timeout of 0 for a task that it expects to end slightly too late.
+const MIN_START_TIMEOUT: Duration = Duration::from_millis(1);
+
 /// Most targets that are held. A heartbeat has no room for more, and an instance
 /// without heartbeats counts as failed.
 const MAX_HELD_TARGETS: usize = 128;
@@ -97,6 +107,7 @@
 struct Shared {
     config: Config,
     target_client: Rc<dyn TargetClient>,
+    evacuations: Rc<RefCell<EvacuationState>>,
     log: Logger,
     /// `None` until the process has an identity.
     token_source: RefCell<Option<TokenSource>>,
@@ -115,6 +126,8 @@
     /// Reports on lost targets that were not sent yet, with the frontends of the tasks.
     loss_reports: RefCell<Vec<(LossReport, BTreeSet<SocketAddr>)>>,
     waits: Waits,
+    lost_answers: RefCell<LostAnswers>,
+    start_delays: RefCell<StartDelays>,
 }
 
 struct QueuedRun {
@@ -129,10 +142,16 @@
 impl Scheduler {
     /// Creates a scheduler that holds no targets, and takes over none before
     /// [`Scheduler::set_identity`].
-    pub fn new(config: Config, target_client: Rc<dyn TargetClient>, log: Logger) -> Scheduler {
+    pub fn new(
+        config: Config,
+        target_client: Rc<dyn TargetClient>,
+        evacuations: Rc<RefCell<EvacuationState>>,
+        log: Logger,
+    ) -> Scheduler {
         Scheduler(Rc::new(Shared {
             config,
             target_client,
+            evacuations,
             log,
             token_source: RefCell::default(),
             last_tick: Cell::new(clock::now()),
@@ -145,6 +164,8 @@
             denied_runs: RefCell::default(),
             loss_reports: RefCell::default(),
             waits: Waits::default(),
+            lost_answers: RefCell::default(),
+            start_delays: RefCell::default(),
         }))
     }
 
@@ -216,6 +237,11 @@
         backoffs.values().any(|it| last < it.0 && it.0 <= now)
     }
 
+    /// Evacuated failure domains.
+    pub(crate) fn evacuations(&self) -> Ref<'_, EvacuationState> {
+        self.0.evacuations.borrow()
+    }
+
     /// Ids of the held targets.
     pub fn target_ids(&self) -> Vec<Rc<str>> {
         self.0.held_targets.borrow().keys().cloned().collect()
@@ -237,16 +263,22 @@
     /// to the run if the future is dropped.
     pub fn run(
         &self,
-        request: RunRequest,
+        mut request: RunRequest,
         drop_policy: DropPolicy,
     ) -> LocalFuture<'static, RunOutcome> {
         let shared = self.0.clone();
+        if shared.config.injected_fault == Some(InjectedFault::StartAfterLoss) {
+            request.sent_at.monotonic_ms = u64::MAX;
+        }
         Box::pin(async move {
             let key = (request.task, request.run);
             if shared.leaving.get() {
                 return RunOutcome::NotStarted(NotStartedReason::OwnerUnavailable);
             }
             if !shared.holds_eligible(&request) {
+                info!(shared.log, "no usable target for a run request"; "task" => %key.0,
+                    "run" => key.1, "eligible" => request.eligible_targets.len(),
+                    "evacuated_domains" => shared.evacuations.borrow().len());
                 return RunOutcome::NotStarted(NotStartedReason::OwnerUnavailable);
             }
             if shared.denied_runs.borrow().contains_key(&key) {
@@ -259,7 +291,8 @@
             let estimate = Duration::from_millis(request.estimate_ms.into());
             let queued = QueuedRun {
                 queued_at: now,
-                expires_at: now + Duration::from_millis(request.start_timeout_ms.into()),
+                expires_at: now
+                    + Duration::from_millis(request.start_timeout_ms.into()).max(MIN_START_TIMEOUT),
                 reply,
                 request,
                 wait: Cell::default(),
@@ -347,6 +380,7 @@
     /// Load to report to the other instances.
     pub fn load(&self) -> Load {
         let mut load = Load::default();
+        let mut targets = Vec::new();
         let now = clock::now();
         for held in self.0.startable_targets() {
             load.total_cores += held.target.borrow().capacity.cpu / MILLICORES_PER_CORE;
@@ -355,14 +389,19 @@
             if held.is_blocked(now) {
                 continue;
             }
-            let free = held.free_resources().cpu / MILLICORES_PER_CORE;
-            load.free_cores
-                .push(u16::try_from(free).unwrap_or(u16::MAX));
+            targets.push(self.0.target_room(&held, now));
         }
+        load.room = Room::summarize(&targets);
         let backlog = self.0.backlog.borrow();
         for (position, queued) in backlog.iter() {
             load.add_backlog(position.priority, work_core_ms(&queued.request));
         }
+        let waiting = backlog.iter();
+        let waiting = waiting.map(|(position, it)| (position.priority, it.start_delay(now)));
+        let start_delays = self.0.start_delays.borrow().summarize(waiting, now);
+        for (priority, delay) in start_delays {
+            load.set_start_delay(priority, delay);
+        }
         load
     }
 
@@ -405,32 +444,19 @@
         }
     }
 
-    /// Drops expired requests from the backlog and stops unclaimed and overdue
+    /// Applies a change of the evacuated domains: tasks that wait for their targets
+    /// are given back to the frontends, and targets that may be used again get tasks.
+    pub fn apply_evacuations(&self) {
+        self.0.refuse_unplaceable(clock::now());
+        self.0.dispatch();
+    }
+
+    /// Answers expired requests of the backlog and stops unclaimed and overdue
     /// runs. Must be called several times a second.
     pub fn tick(&self) {
         let now = clock::now();
         self.0.last_tick.set(now);
-        let expired: Vec<Position> = {
-            let backlog = self.0.backlog.borrow();
-            let is_expired =
-                |it: &QueuedRun| now >= it.expires_at || !self.0.holds_eligible(&it.request);
-            let expired = backlog.iter().filter(|(_, it)| is_expired(it));
-            expired.map(|it| it.0).collect()
-        };
-        for position in expired {
-            let queued = self.0.backlog.borrow_mut().remove(position);
-            if let Some(queued) = queued {
-                let key = (queued.request.task, queued.request.run);
-                self.0.backlog_positions.borrow_mut().remove(&key);
-                let reason = match now >= queued.expires_at {
-                    true => NotStartedReason::StartTimeout,
-                    false => NotStartedReason::OwnerUnavailable,
-                };
-                info!(self.0.log, "task gave up waiting"; "task" => %key.0, "run" => key.1,
-                    "waited_ms" => millis(now - queued.queued_at), "cause" => %reason);
-                let _ = queued.reply.send(RunOutcome::NotStarted(reason));
-            }
-        }
+        self.0.refuse_unplaceable(now);
         let held: Vec<_> = self.0.held_targets.borrow().values().cloned().collect();
         for held in held {
             let state = held.state.borrow();
@@ -468,6 +494,23 @@
 }
 
 impl Shared {
+    /// Answers the waiting tasks that have expired or can't start here.
+    fn refuse_unplaceable(&self, now: Instant) {
+        self.refuse_expired(now);
+        let unplaceable: Vec<Position> = {
+            let backlog = self.backlog.borrow();
+            let is_unplaceable = |it: &QueuedRun| !self.holds_eligible(&it.request);
+            let unplaceable = backlog.iter().filter(|(_, it)| is_unplaceable(it));
+            unplaceable.map(|it| it.0).collect()
+        };
+        for position in unplaceable {
+            let queued = self.backlog.borrow_mut().remove(position);
+            if let Some(queued) = queued {
+                self.refuse_waiting(queued, NotStartedReason::OwnerUnavailable, now);
+            }
+        }
+    }
+
     fn update_target(&self, held: &Rc<HeldTarget>, target: &Target) {
         let mut current = held.target.borrow_mut();
         if target.draining && !current.draining {
@@ -537,7 +580,10 @@
 
     fn enqueue(&self, key: RunKey, start_by: Instant, queued: QueuedRun) {
         let priority = queued.request.priority;
-        let position = self.backlog.borrow_mut().push(priority, start_by, queued);
+        let expires_at = queued.expires_at;
+        let mut backlog = self.backlog.borrow_mut();
+        let position = backlog.push(priority, start_by, expires_at, queued);
+        drop(backlog);
         self.backlog_positions.borrow_mut().insert(key, position);
     }
 
@@ -560,26 +606,71 @@
         self.enqueue(key, run.start_by, queued);
     }
 
-    /// Whether a target is held on which `request` may run.
+    /// Whether a target is held on which `request` may run, and not all that could run
+    /// it are evacuated.
     fn holds_eligible(&self, request: &RunRequest) -> bool {
         let held = self.held_targets.borrow();
-        request.eligible_targets.is_empty()
-            || held
-                .values()
-                .any(|it| request.eligible_targets.contains(&it.short_id))
+        let is_any = request.eligible_targets.is_empty();
+        let mut eligible = held
+            .values()
+            .filter(|it| is_any || it.is_allowed_by(request))
+            .peekable();
+        if eligible.peek().is_none() {
+            return is_any;
+        }
+        let now = clock::now();
+        let mut suitable = eligible.filter(|it| is_suitable(it, request)).peekable();
+        suitable.peek().is_none() || suitable.any(|it| self.may_be_used(it, now))
+    }
+
+    /// Whether no evacuation prevents starts on a target.
+    fn may_be_used(&self, held: &HeldTarget, now: Instant) -> bool {
+        let evacuations = self.evacuations.borrow();
+        evacuations.allows(&held.target.borrow().domain, held.short_id, now)
     }
 
-    /// Starts all waiting tasks that fit, in the order of the backlog.
+    /// Answers the waiting tasks whose start is of no value any more.
+    fn refuse_expired(&self, now: Instant) {
+        let expired = self.backlog.borrow_mut().take_expired(now);
+        for queued in expired {
+            self.refuse_waiting(queued, NotStartedReason::StartTimeout, now);
+        }
+    }
+
+    /// Answers the late tasks of each priority of which other tasks can be in time.
+    fn refuse_late(&self, now: Instant) {
+        let late = self.backlog.borrow_mut().take_late(now);
+        for queued in late {
+            self.refuse_waiting(queued, NotStartedReason::StartTimeout, now);
+        }
+    }
+
+    /// Answers a task that was removed from the backlog.
+    fn refuse_waiting(&self, queued: QueuedRun, reason: NotStartedReason, now: Instant) {
+        let key = (queued.request.task, queued.request.run);
+        self.backlog_positions.borrow_mut().remove(&key);
+        info!(self.log, "task gave up waiting"; "task" => %key.0, "run" => key.1,
+            "waited_ms" => millis(now - queued.queued_at), "cause" => %reason,
+            "evacuated_domains" => self.evacuations.borrow().len());
+        // The receiver may have been dropped.
+        let _ = queued.reply.send(RunOutcome::NotStarted(reason));
+    }
+
+    /// Starts all waiting tasks that fit, in the order of the backlog, and answers
+    /// those that have expired or take capacity from tasks that can be in time.
     ///
     /// A process that was suspended starts nothing before its next tick, because
     /// the frontends of the waiting tasks may have gone.
     fn dispatch(self: &Rc<Self>) {
-        if clock::now() - self.last_tick.get() > STALL_THRESHOLD {
+        let now = clock::now();
+        self.refuse_expired(now);
+        if now - self.last_tick.get() > STALL_THRESHOLD {
             return;
         }
         loop {
             let Some((position, held)) = self.next_start() else {
                 self.arm_wait_timer();
+                self.refuse_late(now);
                 return;
             };
             let Some(queued) = self.backlog.borrow_mut().remove(position) else {
@@ -588,6 +679,10 @@
             let key = (queued.request.task, queued.request.run);
             self.backlog_positions.borrow_mut().remove(&key);
             self.record_placement(&queued, &held);
+            let now = clock::now();
+            self.start_delays
+                .borrow_mut()
+                .record(position.priority, queued.start_delay(now), now);
             run_control::spawn_start(self, &held, position, queued);
         }
     }
@@ -601,7 +696,7 @@
         let held = self.held_targets.borrow();
         let startable: Vec<_> = held
             .values()
-            .filter(|it| it.accepts_starts())
+            .filter(|it| it.accepts_starts() && self.may_be_used(it, now))
             .cloned()
             .collect();
         let blocked = startable.iter().filter(|it| it.is_blocked(now)).count();
@@ -622,15 +717,109 @@
         let now = clock::now();
         let startable = self.startable_targets();
         let free: Vec<_> = startable.iter().map(|it| it.free_resources()).collect();
+        let mut reservations = Reservations::new(startable.len());
         let mut round = self.new_round(&backlog, &startable, now);
-        backlog.scan().find_map(|(position, queued)| {
-            let estimate = Duration::from_millis(queued.request.estimate_ms.into());
-            let goal = position.start_by - now + estimate;
-            let chosen = self.decide(&mut round, queued, goal, &startable, &free, now)?;
-            Some((position, startable[chosen].clone()))
+        backlog.scan(now).find_map(|(position, queued)| {
+            let request = &queued.request;
+            let goal = position.start_by - now + Duration::from_millis(request.estimate_ms.into());
+            let mut places = self.places(request, &startable, &free);
+            places.retain(|it| {
+                let end = now + it.candidate.expected_run_time;
+                reservations.allow(it.target, request.resources, end)
+            });
+            match round.decide(&self.placement_task(position, queued, goal, now), &places) {
+                Decision::Start(target) => Some((position, startable[target].clone())),
+                Decision::Wait {
+                    target,
+                    until,
+                    wait,
+                } => {
+                    self.record_wait(queued, &startable[target], until, wait, now);
+                    None
+                }
+                Decision::NoPlace => {
+                    self.reserve(&mut reservations, &startable, position, request, now);
+                    None
+                }
+            }
         })
     }
 
+    /// Room on a target as it is reported to frontends.
+    fn target_room(&self, held: &HeldTarget, now: Instant) -> TargetRoom {
+        let (target, state) = (held.target.borrow(), held.state.borrow());
+        let free = held.free_resources().cpu;
+        let is_known = |it: &Run| it.request.as_ref().is_some_and(|it| !it.exclusive);
+        let end_of = |it: &Run| {
+            let expected = it
+                .request
+                .as_ref()
+                .map(|request| self.estimate_run_time(&target, &state, request));
+            let expected = expected.unwrap_or(self.config.claim_timeout);
+            (it.started_at + expected) - now
+        };
+        let ends = match state.runs.values().all(is_known) {
+            true => {
+                let runs = state.runs.values();
+                let ends =
+                    runs.filter_map(|it| Some((it.request.as_ref()?.resources.cpu, end_of(it))));
+                ends.collect()
+            }
+            // Nothing else starts before all runs have ended.
+            false => {
+                let last_end = state.runs.values().map(end_of).max();
+                vec![(target.capacity.cpu, last_end.unwrap_or_default())]
+            }
+        };
+        // The first run after failures shows whether the target works again; other
+        // targets come first.
+        let run_time_ratio = match state.circuit_breaker.is_closed() {
+            true => state.estimator.ratio(),
+            false => f64::MAX,
+        };
+        TargetRoom {
+            free,
+            run_time_ratio,
+            ends,
+        }
+    }
+
+    /// Reserves a target for a task that fits nowhere yet.
+    fn reserve(
+        &self,
+        reservations: &mut Reservations,
+        startable: &[Rc<HeldTarget>],
+        position: Position,
+        request: &RunRequest,
+        now: Instant,
+    ) {
+        if position.start_by < now || reservations.is_full() {
+            return;
+        }
+        let rooms = startable.iter().enumerate().filter_map(|(index, held)| {
+            is_eligible(held, request).then_some(())?;
+            Some((index, self.room(held)?))
+        });
+        reservations.reserve(request.resources, position.start_by, rooms, now);
+    }
+
+    /// Room on a target, now and when the runs there end. `None` if the needs of a run
+    /// are unknown.
+    fn room(&self, held: &HeldTarget) -> Option<reservation::Room> {
+        let free = held.free_resources();
+        let state = held.state.borrow();
+        let target = held.target.borrow();
+        let occupancies = state.runs.values().map(|run| {
+            let request = run.request.as_ref().filter(|it| !it.exclusive)?;
+            Some(Occupancy {
+                resources: request.resources,
+                expected_end: run.started_at + self.estimate_run_time(&target, &state, request),
+            })
+        });
+        let runs = occupancies.collect::<Option<Vec<_>>>()?;
+        Some(reservation::Room { free, runs })
+    }
+
     fn estimate_run_time(
         &self,
         target: &Target,
@@ -671,6 +860,8 @@
                 queued.reply = reply;
                 queued.request = RunRequest {
                     spec: queued.request.spec.clone(),
+                    eligible_targets: queued.request.eligible_targets.clone(),
+                    sent_at: queued.request.sent_at,
                     ..request.clone()
                 };
             }
@@ -801,6 +992,28 @@
         }
     }
 
+    /// Whether each target is to be polled twice at the same time.
+    fn is_hedging(&self) -> bool {
+        self.lost_answers.borrow().is_widespread(clock::now())
+    }
+
+    /// Records that an answer of `held` was lost.
+    fn record_lost_answer(self: &Rc<Self>, held: &HeldTarget) {
+        let before = self.is_hedging();
+        let now = clock::now();
+        self.lost_answers.borrow_mut().record(held.short_id, now);
+        if before || !self.is_hedging() {
+            return;
+        }
+        info!(
+            self.log,
+            "answers of several targets are lost, polling twice"
+        );
+        for held in self.held_targets.borrow().values() {
+            poll_loop::start_backup(self, held);
+        }
+    }
+
     /// Handles the events that a status of a target caused.
     fn apply_events(self: &Rc<Self>, held: &Rc<HeldTarget>, events: Vec<held_target::RunEvent>) {
         for event in events {
@@ -864,19 +1077,18 @@
     }
 }
 
-fn is_eligible(held: &HeldTarget, request: &RunRequest) -> bool {
+/// Whether the target has the service and the label that a request needs.
+fn is_suitable(held: &HeldTarget, request: &RunRequest) -> bool {
     let target = held.target.borrow();
-    if target.service != request.service {
-        return false;
-    }
-    if request
-        .constraint
-        .as_ref()
-        .is_some_and(|it| !target.has_label(it))
-    {
+    let mut required = request.constraint.iter();
+    target.service == request.service && required.all(|it| target.has_label(it))
+}
+
+fn is_eligible(held: &HeldTarget, request: &RunRequest) -> bool {
+    if !is_suitable(held, request) {
         return false;
     }
-    if !request.eligible_targets.is_empty() && !request.eligible_targets.contains(&held.short_id) {
+    if !held.is_allowed_by(request) {
         return false;
     }
     if request.exclusive && !held.state.borrow().runs.is_empty() {
--- a/crates/fleet/src/scheduler/wait_or_start.rs
+++ b/crates/fleet/src/scheduler/wait_or_start.rs
@@ -22,9 +22,9 @@
 };
 use crate::{
     Resources, Target,
-    backlog::Backlog,
+    backlog::{Backlog, Position},
     messages::RunRequest,
-    placement::{self, Candidate, Counts, Decision, Place, Room, Round, Task},
+    placement::{self, Candidate, Counts, Place, Room, Round, Task, Wait},
 };
 
 /// Waiting tasks of all held targets.
@@ -44,6 +44,14 @@
     }
 }
 
+impl QueuedRun {
+    /// Time for which the task has not been able to start. A wait for a better target
+    /// is not due to load, and must not make frontends refuse jobs.
+    pub(super) fn start_delay(&self, now: Instant) -> Duration {
+        self.wait.get().map_or(now, |it| it.since) - self.queued_at
+    }
+}
+
 impl Shared {
     /// Round of decisions on the tasks of `backlog`.
     pub(super) fn new_round(
@@ -54,7 +62,7 @@
     ) -> Round {
         self.waits.next_decision.set(None);
         let names_rack = backlog
-            .scan()
+            .scan(now)
             .any(|(_, it)| self.depends_on_rack(&it.request));
         let ratios = startable
             .iter()
@@ -62,20 +70,22 @@
         if !names_rack && !placement::speeds_differ(ratios) {
             return Round::without_waits(now);
         }
-        Round::new(now, startable.iter().map(|it| self.room(it, now)).collect())
+        Round::new(
+            now,
+            startable
+                .iter()
+                .map(|it| self.expected_room(it, now))
+                .collect(),
+        )
     }
 
-    /// Decides on a queued task. Returns the index of the target on which it starts.
-    pub(super) fn decide(
+    /// Places at which a task may run.
+    pub(super) fn places(
         &self,
-        round: &mut Round,
-        queued: &QueuedRun,
-        goal: Duration,
+        request: &RunRequest,
         startable: &[Rc<HeldTarget>],
         free: &[Resources],
-        now: Instant,
-    ) -> Option<usize> {
-        let request = &queued.request;
+    ) -> Vec<Place> {
         let names_rack = self.depends_on_rack(request);
         let group_labels = match names_rack {
             true => self.group_labels(request),
@@ -85,58 +95,67 @@
             .iter()
             .enumerate()
             .filter(|(_, it)| is_eligible(it, request));
-        let places: Vec<_> = eligible
-            .map(|(target, it)| {
-                let state = it.state.borrow();
-                Place {
-                    target,
-                    candidate: Candidate {
-                        free: free[target],
-                        expected_run_time: self.estimate_run_time(
-                            &it.target.borrow(),
-                            &state,
-                            request,
-                        ),
-                        healthy: state.circuit_breaker.is_closed(),
-                    },
-                    near: !names_rack || is_near(it, request),
-                    with_group: group_labels.contains(&it.target.borrow().labels),
-                    long_term_ratio: state.estimator.long_term_ratio(),
-                }
-            })
-            .collect();
+        let places = eligible.map(|(target, it)| {
+            let (state, labels) = (it.state.borrow(), &it.target.borrow().labels);
+            Place {
+                target,
+                candidate: Candidate {
+                    free: free[target],
+                    expected_run_time: self.estimate_run_time(&it.target.borrow(), &state, request),
+                    healthy: state.circuit_breaker.is_closed(),
+                },
+                near: !names_rack || is_near(it, request),
+                with_group: group_labels.contains(labels),
+                long_term_ratio: state.estimator.long_term_ratio(),
+            }
+        });
+        places.collect()
+    }
+
+    /// Describes a queued task that has `goal` left if it starts now.
+    pub(super) fn placement_task(
+        &self,
+        position: Position,
+        queued: &QueuedRun,
+        goal: Duration,
+        now: Instant,
+    ) -> Task {
+        let request = &queued.request;
         let goal_left = Duration::from_millis(request.goal_remaining_ms.into());
-        let task = Task {
+        Task {
             required: request.resources,
             goal,
             goal_end: (now + goal).min(queued.queued_at + goal_left),
-            expires_at: queued.expires_at,
-            names_rack,
+            // The backlog may refuse a task that did not start by then.
+            expires_at: match position.start_by > now {
+                true => queued.expires_at.min(position.start_by),
+                false => queued.expires_at,
+            },
+            names_rack: self.depends_on_rack(request),
             wait: queued.wait.get(),
-        };
-        match round.decide(&task, &places) {
-            Decision::Start(target) => Some(target),
-            Decision::Wait {
-                target,
-                until,
-                wait,
-            } => {
-                if queued.wait.replace(Some(wait)).is_none() {
-                    info!(self.log, "task waits for a better target"; "task" => %request.task,
-                        "run" => request.run, "target" => %startable[target].target.borrow().id,
-                        "until_ms" => millis(until - now),
-                        "bound_ms" => millis(wait.bound - now));
-                }
-                let next = self.waits.next_decision.get();
-                self.waits
-                    .next_decision
-                    .set(Some(next.map_or(until, |it| it.min(until))));
-                None
-            }
-            Decision::NoPlace => None,
         }
     }
 
+    /// Records that a queued task waits for `held`.
+    pub(super) fn record_wait(
+        &self,
+        queued: &QueuedRun,
+        held: &HeldTarget,
+        until: Instant,
+        wait: Wait,
+        now: Instant,
+    ) {
+        let request = &queued.request;
+        if queued.wait.replace(Some(wait)).is_none() {
+            info!(self.log, "task waits for a better target"; "task" => %request.task,
+                "run" => request.run, "target" => %held.target.borrow().id,
+                "until_ms" => millis(until - now), "bound_ms" => millis(wait.bound - now));
+        }
+        let next = self.waits.next_decision.get();
+        let next = next.map_or(until, |it| it.min(until));
+        self.waits.next_decision.set(Some(next));
+    }
+
     /// Counts a start, and logs why the wait of the task ended.
     pub(super) fn record_placement(&self, queued: &QueuedRun, held: &HeldTarget) {
         let request = &queued.request;
@@ -202,7 +221,7 @@
     }
 
     /// Room on a target. None is expected while the needs of a run are unknown.
-    fn room(&self, held: &HeldTarget, now: Instant) -> Room {
+    fn expected_room(&self, held: &HeldTarget, now: Instant) -> Room {
         let mut room = Room::new(held.free_resources());
         let (state, target) = (held.state.borrow(), held.target.borrow());
         for run in state.runs.values() {
--- a/crates/fleet/tests/decisions.rs
+++ b/crates/fleet/tests/decisions.rs
@@ -9,17 +9,21 @@
 
 use bluebellpath_fleet::{
     JobId, Resources, Target, TaskId,
-    admission::{self, Decision, Estimate},
+    admission::{self, Decision, Estimate, StepDemand},
     backlog::Backlog,
     circuit_breaker::CircuitBreaker,
     crash_history::{CrashHistory, Fate, Loss, LossReport, Verdict},
     fencing::{self, TokenSource},
+    forecast::Occupancy,
     identity::{Claim, Claimed, Identity, StoredIdentity},
-    messages::Load,
+    lost_answers::LostAnswers,
+    messages::{Load, Waiting},
     owner_selection::{self, Demand, Distance, Owner},
     ownership::{Assignment, Candidate},
     placement,
     read_schedule::Schedule,
+    reservation::{self, Reservations},
+    room::{Forecast, Room, TargetRoom},
     run_time::Estimator,
     target_list::TargetList,
 };
@@ -338,14 +342,242 @@
     }
 }
 
+/// Order of a backlog with tasks of this name, priority and start time, at `now`.
+fn backlog_order(tasks: &[(&'static str, u8, u64)], now: u64) -> Vec<&'static str> {
+    let mut backlog = Backlog::default();
+    for &(name, priority, start_ms) in tasks {
+        backlog.push(priority, at(start_ms), at(10_000), name);
+    }
+    backlog.scan(at(now)).map(|it| *it.1).collect()
+}
+
+#[test]
+fn backlog_is_ordered_by_priority_then_slack_then_lateness() {
+    struct Case {
+        what: &'static str,
+        tasks: &'static [(&'static str, u8, u64)],
+        order: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            what: "by priority, then by least slack",
+            tasks: &[("later", 1, 900), ("soon", 1, 500), ("first", 0, 5_000)],
+            order: &["first", "soon", "later"],
+        },
+        Case {
+            what: "a task that can only be late does not delay one that can be in time",
+            tasks: &[("late", 1, 399), ("soon", 1, 400), ("later", 1, 900)],
+            order: &["soon", "later", "late"],
+        },
+        Case {
+            what: "late tasks keep their priority",
+            tasks: &[("lower", 2, 900), ("late", 1, 100), ("last", 255, 10)],
+            order: &["late", "lower", "last"],
+        },
+        Case {
+            what: "the task that became late last comes first",
+            tasks: &[("oldest", 0, 100), ("older", 0, 200), ("old", 0, 300)],
+            order: &["old", "older", "oldest"],
+        },
+        Case {
+            what: "nothing waits",
+            tasks: &[],
+            order: &[],
+        },
+    ];
+    for case in cases {
+        assert_eq!(backlog_order(case.tasks, 400), case.order, "{}", case.what);
+    }
+}
+
 #[test]
-fn backlog_is_ordered_by_priority_then_start_deadline() {
+fn tasks_leave_the_backlog_when_they_expire() {
     let mut backlog = Backlog::default();
-    for (name, priority, start_ms) in [("late", 1, 900), ("soon", 1, 100), ("first", 0, 5_000)] {
-        backlog.push(priority, at(start_ms), name);
+    backlog.push(0, at(0), at(300), "second");
+    backlog.push(1, at(100), at(200), "first");
+    let started = backlog.push(0, at(0), at(100), "started");
+    assert_eq!(backlog.remove(started), Some("started"));
+    assert!(backlog.take_expired(at(199)).is_empty());
+    assert_eq!(backlog.take_expired(at(200)), ["first"]);
+    assert_eq!(backlog.take_expired(at(1_000)), ["second"]);
+    assert!(backlog.is_empty() && backlog.take_expired(at(2_000)).is_empty());
+}
+
+#[test]
+fn late_tasks_give_way_to_tasks_that_can_be_in_time() {
+    struct Case {
+        what: &'static str,
+        tasks: &'static [(&'static str, u8, u64)],
+        removed: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            what: "a task of the same priority can be in time",
+            tasks: &[("older", 1, 100), ("old", 1, 399), ("soon", 1, 400)],
+            removed: &["old", "older"],
+        },
+        Case {
+            what: "all tasks are late",
+            tasks: &[("older", 1, 100), ("old", 1, 399)],
+            removed: &[],
+        },
+        Case {
+            what: "only tasks of other priorities can be in time",
+            tasks: &[("urgent", 0, 900), ("old", 1, 100), ("lower", 2, 900)],
+            removed: &[],
+        },
+        Case {
+            what: "each priority by itself",
+            tasks: &[
+                ("a", 0, 1),
+                ("b", 0, 900),
+                ("c", 1, 1),
+                ("d", 255, 1),
+                ("e", 255, 900),
+            ],
+            removed: &["a", "d"],
+        },
+    ];
+    for case in cases {
+        let mut backlog = Backlog::default();
+        for &(name, priority, start_ms) in case.tasks {
+            backlog.push(priority, at(start_ms), at(10_000), name);
+        }
+        assert_eq!(backlog.take_late(at(400)), case.removed, "{}", case.what);
+        let left = case.tasks.len() - case.removed.len();
+        assert_eq!(backlog.len(), left, "{}", case.what);
+    }
+}
+
+/// Cores without other resources.
+fn only_cores(cores: u32) -> Resources {
+    Resources {
+        cpu: cores * 1_000,
+        ..Resources::default()
+    }
+}
+
+/// Target with these free cores and runs, each with its cores and expected end.
+fn occupied(free: u32, runs: &[(u32, u64)]) -> reservation::Room {
+    let runs = runs.iter().map(|&(cores, end_ms)| Occupancy {
+        resources: only_cores(cores),
+        expected_end: at(end_ms),
+    });
+    reservation::Room {
+        free: only_cores(free),
+        runs: runs.collect(),
+    }
+}
+
+#[test]
+fn a_task_that_fits_nowhere_reserves_the_first_target_with_room() {
+    struct Case {
+        what: &'static str,
+        cores: u32,
+        start_by: u64,
+        targets: Vec<reservation::Room>,
+        reserved: Option<(usize, u64)>,
+    }
+    let two = || {
+        vec![
+            occupied(4, &[(12, 300), (16, 900)]),
+            occupied(8, &[(24, 200)]),
+        ]
+    };
+    let cases = [
+        Case {
+            what: "the one that has room first",
+            cores: 16,
+            start_by: 500,
+            targets: two(),
+            reserved: Some((1, 200)),
+        },
+        Case {
+            what: "a run past its expected end ends soon",
+            cores: 16,
+            start_by: 500,
+            targets: vec![occupied(8, &[(24, 200)]), occupied(8, &[(24, 50)])],
+            reserved: Some((1, 120)),
+        },
+        Case {
+            what: "a task that can only be late reserves nothing",
+            cores: 16,
+            start_by: 199,
+            targets: two(),
+            reserved: None,
+        },
+        Case {
+            what: "too large for all",
+            cores: 40,
+            start_by: 5_000,
+            targets: two(),
+            reserved: None,
+        },
+    ];
+    for case in cases {
+        let mut reservations = Reservations::new(case.targets.len());
+        let targets = case.targets.into_iter().enumerate();
+        let reserved =
+            reservations.reserve(only_cores(case.cores), at(case.start_by), targets, at(100));
+        let expected = case.reserved.map(|(index, start_ms)| (index, at(start_ms)));
+        assert_eq!(reserved, expected, "{}", case.what);
+    }
+}
+
+#[test]
+fn tasks_start_on_a_reserved_target_only_if_they_do_not_delay_it() {
+    let targets = || vec![occupied(8, &[(24, 200)]), occupied(8, &[(24, 400)])].into_iter();
+    let mut reservations = Reservations::new(2);
+    let start = |reservations: &mut Reservations, cores, start_by| {
+        let targets = targets().enumerate();
+        reservations.reserve(only_cores(cores), at(start_by), targets, at(100))
+    };
+    assert_eq!(start(&mut reservations, 28, 900), Some((0, at(200))));
+    struct Case {
+        what: &'static str,
+        target: usize,
+        cores: u32,
+        end: u64,
+        allowed: bool,
+    }
+    let cases = [
+        Case {
+            what: "ends before the reserved start",
+            target: 0,
+            cores: 8,
+            end: 200,
+            allowed: true,
+        },
+        Case {
+            what: "would delay the reserved start",
+            target: 0,
+            cores: 8,
+            end: 201,
+            allowed: false,
+        },
+        Case {
+            what: "fits beside the reserved task",
+            target: 0,
+            cores: 4,
+            end: 5_000,
+            allowed: true,
+        },
+        Case {
+            what: "the target is not reserved",
+            target: 1,
+            cores: 8,
+            end: 5_000,
+            allowed: true,
+        },
+    ];
+    for case in cases {
+        let allowed = reservations.allow(case.target, only_cores(case.cores), at(case.end));
+        assert_eq!(allowed, case.allowed, "{}", case.what);
     }
-    let order: Vec<_> = backlog.scan().map(|it| *it.1).collect();
-    assert_eq!(order, ["first", "soon", "late"]);
+    let second = start(&mut reservations, 16, 900);
+    assert_eq!(second, Some((1, at(400))), "each task reserves another");
+    assert!(reservations.is_full());
+    assert_eq!(start(&mut reservations, 16, 900), None);
 }
 
 #[test]
@@ -409,19 +641,35 @@
     }
 }
 
+/// Room of targets with these free cores and no runs.
+fn room(free_cores: &[u32]) -> Room {
+    let targets = free_cores.iter().map(|it| TargetRoom {
+        free: it * 1_000,
+        run_time_ratio: 1.0,
+        ends: Vec::new(),
+    });
+    Room::summarize(&targets.collect::<Vec<_>>())
+}
+
 #[test]
 fn owners_are_chosen_by_free_cores_then_shortest_backlog() {
-    let owner = |distance, free_cores: &[u16], queued_work: u64| Owner {
+    let owner = |distance, free_cores: &[u32], core_ms: u32| Owner {
         distance,
         load: Rc::new(Load {
-            free_cores: free_cores.to_vec(),
+            room: room(free_cores),
             total_cores: 640,
-            backlog: vec![(1, queued_work)],
+            backlog: vec![Waiting {
+                priority: 1,
+                tasks: 8,
+                core_ms,
+                ..Waiting::default()
+            }],
         }),
+        load_age: ms(0),
         reachable: true,
     };
     let demand = Demand {
-        cores: 27,
+        cpu: 27_000,
         run_time: ms(200),
         priority: 1,
     };
@@ -458,18 +706,19 @@
 fn a_burst_over_two_owners_is_spread_evenly() {
     // One frontend places all tasks of a burst before any load is updated.
     let load = Load {
-        free_cores: vec![64; 6],
+        room: room(&[64; 6]),
         total_cores: 384,
         backlog: Vec::new(),
     };
     let owner = |distance| Owner {
         distance,
         load: load.clone().into(),
+        load_age: ms(0),
         reachable: true,
     };
     let mut owners = [owner(Distance::Local), owner(Distance::SameDomain)];
     let demand = Demand {
-        cores: 27,
+        cpu: 27_000,
         run_time: ms(200),
         priority: 1,
     };
@@ -481,6 +730,8 @@
     assert_eq!(counts, [62, 62]);
 }
 
+/// Guards against jobs that are admitted although every target is busy beyond their
+/// goal, and against refusals while the targets are free.
 #[test]
 fn jobs_are_admitted_only_if_they_can_end_in_time() {
     struct Case {
@@ -520,17 +771,192 @@
             limit_ms: 1,
             decision: Decision::Refuse(ms(10_000)),
         },
+        Case {
+            wait_ms: 0,
+            run_ms: 600,
+            limit_ms: 380,
+            decision: Decision::Admit,
+        },
     ];
     for case in cases {
         let estimate = Estimate {
             wait: ms(case.wait_ms),
-            run_time: ms(case.run_ms),
+            end: ms(case.wait_ms + case.run_ms),
             time_limit: ms(case.limit_ms),
         };
         assert_eq!(admission::decide(estimate), case.decision, "{estimate:?}");
     }
 }
 
+/// Guards against an expected wait of 0 while every target is busy, against perfect
+/// packing, and against an estimate for the first task of a job only.
+#[test]
+fn the_expected_end_of_a_job_counts_running_and_waiting_work() {
+    /// Free cores, ratio of run times, and cores and ends of the runs.
+    type TargetCase = (u32, f64, &'static [(u32, u64)]);
+
+    struct Case {
+        name: &'static str,
+        targets: &'static [TargetCase],
+        /// Priority, number and core-milliseconds of waiting tasks.
+        backlog: &'static [(u8, u16, u32)],
+        age_ms: u64,
+        tasks: u16,
+        /// Wait and end of a job of priority 1 with tasks of 16 cores and 100 ms.
+        expected: Option<(u64, u64)>,
+    }
+    const CASES: [Case; 11] = [
+        Case {
+            name: "a free target",
+            targets: &[(32, 1.0, &[])],
+            backlog: &[],
+            age_ms: 0,
+            tasks: 2,
+            expected: Some((0, 100)),
+        },
+        Case {
+            name: "the third task waits for the first",
+            targets: &[(32, 1.0, &[])],
+            backlog: &[],
+            age_ms: 0,
+            tasks: 3,
+            expected: Some((100, 200)),
+        },
+        Case {
+            name: "every target is busy and nothing waits",
+            targets: &[(0, 1.0, &[(32, 80)]), (15, 1.0, &[(17, 160)])],
+            backlog: &[],
+            age_ms: 0,
+            tasks: 1,
+            expected: Some((80, 180)),
+        },
+        Case {
+            name: "cores that are free but too few are of no use",
+            targets: &[(15, 1.0, &[(17, 160)]), (15, 1.0, &[(17, 160)])],
+            backlog: &[],
+            age_ms: 0,
+            tasks: 1,
+            expected: Some((160, 260)),
+        },
+        Case {
+            name: "tasks of a higher priority go first",
+            targets: &[(0, 1.0, &[(17, 80), (15, 160)])],
+            backlog: &[(0, 1, 3_200)],
+            age_ms: 0,
+            tasks: 1,
+            expected: Some((160, 260)),
+        },
+        Case {
+            name: "tasks of a lower priority don't",
+            targets: &[(0, 1.0, &[(17, 80), (15, 160)])],
+            backlog: &[(2, 9, 90_000)],
+            age_ms: 0,
+            tasks: 1,
+            expected: Some((80, 180)),
+        },
+        Case {
+            name: "a summary ages",
+            targets: &[(0, 1.0, &[(32, 80)])],
+            backlog: &[],
+            age_ms: 40,
+            tasks: 1,
+            expected: Some((40, 140)),
+        },
+        Case {
+            name: "a run past its expected end has not ended",
+            targets: &[(0, 1.0, &[(32, 80)])],
+            backlog: &[],
+            age_ms: 90,
+            tasks: 1,
+            expected: Some((20, 120)),
+        },
+        Case {
+            name: "a fast target that is free later ends the task first",
+            targets: &[(16, 2.0, &[]), (0, 0.5, &[(16, 80)])],
+            backlog: &[],
+            age_ms: 0,
+            tasks: 1,
+            expected: Some((80, 130)),
+        },
+        Case {
+            name: "a slow target that is free now ends the task first",
+            targets: &[(16, 1.0, &[]), (0, 0.5, &[(16, 80)])],
+            backlog: &[],
+            age_ms: 0,
+            tasks: 1,
+            expected: Some((0, 100)),
+        },
+        Case {
+            name: "too small targets",
+            targets: &[(8, 1.0, &[]), (4, 1.0, &[(4, 80)])],
+            backlog: &[],
+            age_ms: 0,
+            tasks: 1,
+            expected: None,
+        },
+    ];
+    for case in CASES {
+        let targets = case.targets.iter().map(|it| TargetRoom {
+            free: it.0 * 1_000,
+            run_time_ratio: it.1,
+            ends: it.2.iter().map(|it| (it.0 * 1_000, ms(it.1))).collect(),
+        });
+        let backlog = case.backlog.iter().map(|it| Waiting {
+            priority: it.0,
+            tasks: it.1,
+            core_ms: it.2,
+            ..Waiting::default()
+        });
+        let load = Load {
+            room: Room::summarize(&targets.collect::<Vec<_>>()),
+            total_cores: 64,
+            backlog: backlog.collect(),
+        };
+        let mut forecasts = [Forecast::new(&load, ms(case.age_ms), 1, 16_000)];
+        let step = StepDemand {
+            tasks: case.tasks,
+            cpu: 16_000,
+            run_time: ms(100),
+            dependencies: &[],
+        };
+        let later_step = StepDemand {
+            run_time: ms(30),
+            dependencies: &[0],
+            ..step
+        };
+        let expected = admission::expect(&[step], &mut forecasts.clone());
+        let case_expected = case.expected.map(|it| (ms(it.0), ms(it.1)));
+        assert_eq!(expected, case_expected, "{}", case.name);
+        let expected = admission::expect(&[step, later_step], &mut forecasts);
+        let case_expected = case_expected.map(|it| (it.0, it.1 + ms(30)));
+        assert_eq!(expected, case_expected, "{}, with a later step", case.name);
+    }
+}
+
+/// Guards against a forecast without any end of a run where the summary has no room
+/// for all of them.
+#[test]
+fn a_summary_of_many_targets_is_bounded_and_still_names_a_wait() {
+    let target = TargetRoom {
+        free: 1_000,
+        run_time_ratio: 1.0,
+        ends: vec![(16_000, ms(400)), (15_000, ms(240))],
+    };
+    let room = Room::summarize(&vec![target; 128]);
+    assert!(room.openings.len() <= 20, "{}", room.openings.len());
+    assert_eq!(room.speed_classes.len(), 64);
+    let load = Load {
+        room,
+        total_cores: 4_096,
+        backlog: Vec::new(),
+    };
+    let forecast = Forecast::new(&load, ms(0), 0, 16_000);
+    let expected = forecast.earliest_end(16_000, ms(100)).expect("room later");
+    assert_eq!(expected.start_ms, 240);
+    let expected = forecast.earliest_end(20_000, ms(100)).expect("room later");
+    assert!((240..=400).contains(&expected.start_ms), "{expected:?}");
+}
+
 #[test]
 fn consecutive_failures_open_the_circuit_breaker_for_longer() {
     let mut breaker = CircuitBreaker::default();
@@ -770,3 +1196,43 @@
         assert_eq!(tasks(&history), 0);
     });
 }
+
+#[test]
+fn lost_answers_are_widespread_only_if_several_targets_lose_them() {
+    struct Case {
+        name: &'static str,
+        /// Targets whose answers are lost, with the times in milliseconds.
+        lost: &'static [(u32, u64)],
+        widespread: bool,
+    }
+    const CASES: [Case; 4] = [
+        Case {
+            name: "nothing is lost",
+            lost: &[],
+            widespread: false,
+        },
+        Case {
+            name: "one target has failed",
+            lost: &[(1, 9_000), (1, 9_400), (1, 9_900)],
+            widespread: false,
+        },
+        Case {
+            name: "two targets lose answers",
+            lost: &[(1, 9_000), (2, 9_900)],
+            widespread: true,
+        },
+        Case {
+            name: "the first loss is long ago",
+            lost: &[(1, 7_000), (2, 9_900)],
+            widespread: false,
+        },
+    ];
+    for case in CASES {
+        let mut lost_answers = LostAnswers::default();
+        for (target, ms) in case.lost {
+            lost_answers.record(*target, at(*ms));
+        }
+        let widespread = lost_answers.is_widespread(at(10_000));
+        assert_eq!(widespread, case.widespread, "{}", case.name);
+    }
+}
--- a/crates/fleet/tests/sessions/main.rs
+++ b/crates/fleet/tests/sessions/main.rs
@@ -2,13 +2,16 @@
 
 mod config;
 mod crashes;
+mod evacuation;
 mod growth;
 mod locality;
 mod injected_faults;
+mod lost_answers;
 mod overload;
 mod random;
 mod spread;
 mod system;
+mod waiting;
 
 use std::time::Duration;
 
--- a/crates/standin/src/yard.rs
+++ b/crates/standin/src/yard.rs
@@ -49,6 +49,8 @@
     Refuse,
     /// What is started there never ends.
     Hang,
+    /// The answer to one in this many polls is lost.
+    Lossy(u64),
 }
 
 /// Time for which a target is down after a task has crashed it.
@@ -76,6 +78,8 @@
     targets: RefCell<BTreeMap<Rc<str>, Rc<State>>>,
     violations: RefCell<Vec<String>>,
     started: RefCell<BTreeMap<TaskId, u32>>,
+    /// Times of all starts, with the targets.
+    start_times: RefCell<Vec<(Instant, Rc<str>)>>,
     /// Crashes under each task that crashes its targets, and its starts after
     /// [`CRASHES`] of them.
     crashes: RefCell<BTreeMap<TaskId, (u32, u32)>>,
@@ -93,6 +97,7 @@
     fence: Cell<u64>,
     lease_end: Cell<u64>,
     ends: Cell<u64>,
+    polls: Cell<u64>,
     runs: RefCell<BTreeMap<(TaskId, u32), Busy>>,
     ended: RefCell<Vec<EndedRun>>,
     highest: RefCell<BTreeMap<TaskId, u32>>,
@@ -124,6 +129,7 @@
             fence: Cell::new(0),
             lease_end: Cell::new(0),
             ends: Cell::new(0),
+            polls: Cell::new(0),
             runs: RefCell::default(),
             ended: RefCell::default(),
             highest: RefCell::default(),
@@ -207,6 +213,18 @@
         self.0.started.borrow().clone()
     }
 
+    /// Times of all starts on the targets of `domain`, with the targets.
+    pub fn starts_in(&self, domain: &str) -> Vec<(Instant, Rc<str>)> {
+        let targets = self.0.targets.borrow();
+        let in_domain = |id: &str| {
+            let state = targets.get(id);
+            state.is_some_and(|it| *it.target.borrow().domain == *domain)
+        };
+        let starts = self.0.start_times.borrow();
+        let starts = starts.iter().filter(|it| in_domain(&it.1));
+        starts.cloned().collect()
+    }
+
     /// Tasks that run now.
     pub fn running(&self) -> Vec<(Rc<str>, TaskId, u32)> {
         let mut all = Vec::new();
@@ -277,6 +295,8 @@
         self.watch(state, start, cpu);
         state.extend(start.lease_end_ms);
         state.runs.borrow_mut().insert(key, busy);
+        let started = (clock::now(), state.target.borrow().id.clone());
+        self.0.start_times.borrow_mut().push(started);
         *self.0.started.borrow_mut().entry(start.task).or_default() += 1;
         state.changed.notify();
         Ok(now_ms())
@@ -463,7 +483,7 @@
                     Err(RequestError::Unknown)
                 }
                 Mishap::Refuse => Err(RequestError::Unhealthy),
-                Mishap::None | Mishap::Dark | Mishap::Hang => {
+                Mishap::None | Mishap::Dark | Mishap::Hang | Mishap::Lossy(_) => {
                     let begun = hand.yard.begin(&state, &start);
                     clock::sleep(WAY).await;
                     begun
@@ -508,6 +528,13 @@
                 .borrow_mut()
                 .retain(|it| it.number > hold.acknowledged_end);
             let end = clock::now() + Duration::from_millis(hold.max_wait_ms);
+            state.polls.set(state.polls.get() + 1);
+            if let Mishap::Lossy(share) = state.mishap.get()
+                && state.polls.get().is_multiple_of(share)
+            {
+                clock::sleep_until(end + ANSWER).await;
+                return Err(RequestError::Unknown);
+            }
             while state.ended.borrow().is_empty() && clock::now() < end {
                 let wait = state.next_end().min(end - clock::now());
                 clock::timeout(wait, state.changed.notified()).await;
