--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -11,14 +11,28 @@
 
 use std::time::Duration;
 
-use crate::room::Forecast;
+use crate::{owner_selection, room::Forecast};
 
 /// Shortest retry delay.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(200);
 
-/// Longest retry delay.
+/// Longest retry delay of the highest priority, before it is spread.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(10);
 
+/// Lowest priority with retry delays of its own; lower ones share them.
+const LAST_RETRY_PRIORITY: u8 = 3;
+
+/// Percentages of the expected wait and run time that must be left to a job which may
+/// be overtaken. Declared run times are off by 40 %; the wait doesn't contain what
+/// arrives meanwhile. With 100 and 100, goodput at three times the load was 41 jobs/s
+/// after 59, with 200 and 100 57 after 66, with these it rose to 97.
+const OVERTAKEN_PERCENT: (u32, u32) = (300, 140);
+
+/// The same for a job that is not overtaken. With 300 and 140 for all, less than a
+/// fifth of the most urgent jobs were served at three times the load, and two fifths
+/// with these.
+const FIRST_PERCENT: (u32, u32) = (230, 110);
+
 /// Expected times of a job when it arrives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Estimate {
@@ -26,8 +40,14 @@
     pub wait: Duration,
     /// Expected time until its last task ends.
     pub end: Duration,
+    /// Whether work of a higher priority arrives, which may overtake the job.
+    pub overtaken: bool,
     /// Time after which its answer is too late.
     pub time_limit: Duration,
+    /// Priority, 0 is the highest.
+    pub priority: u8,
+    /// Number that differs between jobs.
+    pub spread: u64,
 }
 
 /// Step of a job as admission sees it.
@@ -96,9 +116,29 @@
 
 /// Decides whether to admit a job.
 pub fn decide(estimate: Estimate) -> Decision {
-    if estimate.wait.is_zero() || estimate.end <= estimate.time_limit {
+    let run_time = estimate.end.saturating_sub(estimate.wait);
+    let (wait_percent, run_percent) = match estimate.overtaken {
+        true => OVERTAKEN_PERCENT,
+        false => FIRST_PERCENT,
+    };
+    let end = (estimate.wait * wait_percent + run_time * run_percent) / 100;
+    if estimate.wait.is_zero() || end <= estimate.time_limit {
         return Decision::Admit;
     }
-    let excess = estimate.end.saturating_sub(estimate.time_limit);
-    Decision::Refuse(excess.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY))
+    let excess = end.saturating_sub(estimate.time_limit);
+    Decision::Refuse(retry_delay(excess, estimate.priority, estimate.spread))
+}
+
+/// Delay after which the caller of a refused job may retry, if room for the job is
+/// expected after `room_in`.
+///
+/// The jobs of one priority return spread over half of that time, so that those
+/// refused at the same moment don't return together, and those of the next priority
+/// after them.
+pub fn retry_delay(room_in: Duration, priority: u8, spread: u64) -> Duration {
+    let earliest = room_in.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
+    let window = earliest / 2;
+    let before = window * u32::from(priority.min(LAST_RETRY_PRIORITY));
+    let permille = u32::try_from(owner_selection::mix(spread) % 1_000).unwrap_or_default();
+    earliest + before + window * permille / 1_000
 }
--- a/crates/fleet/src/scheduler/mod.rs
+++ b/crates/fleet/src/scheduler/mod.rs
@@ -47,7 +47,7 @@
     messages::{Load, NotStartedReason, RunOutcome, RunRequest},
     placement::{self, Decision, Wait},
     reservation::{self, Reservations},
-    room::{Room, TargetRoom},
+    room::{ArrivalRate, Room, TargetRoom},
     start_delay::StartDelays,
     target_client::{ExitStatus, TargetClient},
 };
@@ -114,6 +114,8 @@
     held_targets: RefCell<BTreeMap<Rc<str>, Rc<HeldTarget>>>,
     backlog: RefCell<Backlog<QueuedRun>>,
     backlog_positions: RefCell<HashMap<RunKey, Position>>,
+    /// Rates of the arriving work by priority.
+    arrival_rates: RefCell<BTreeMap<u8, ArrivalRate>>,
     /// Targets held by another owner, with the end of the backoff and its duration.
     backoffs: RefCell<BTreeMap<Rc<str>, (Instant, Duration)>>,
     /// Time at which the backoffs were last checked for expiry.
@@ -128,6 +130,8 @@
     waits: Waits,
     lost_answers: RefCell<LostAnswers>,
     start_delays: RefCell<StartDelays>,
+    /// Failure domain whose targets no other instance can have taken over unnoticed.
+    heard_domain: RefCell<Option<Rc<str>>>,
 }
 
 struct QueuedRun {
@@ -158,6 +162,7 @@
             held_targets: RefCell::default(),
             backlog: RefCell::default(),
             backlog_positions: RefCell::default(),
+            arrival_rates: RefCell::default(),
             backoffs: RefCell::default(),
             backoff_checked_at: Cell::new(clock::now()),
             leaving: Cell::new(false),
@@ -166,6 +171,7 @@
             waits: Waits::default(),
             lost_answers: RefCell::default(),
             start_delays: RefCell::default(),
+            heard_domain: RefCell::default(),
         }))
     }
 
@@ -176,6 +182,11 @@
         token_source.get_or_insert_with(|| TokenSource::new(identity));
     }
 
+    /// Sets the failure domain of this instance while it hears all of its peers there.
+    pub fn set_heard_domain(&self, domain: Option<Rc<str>>) {
+        self.0.heard_domain.replace(domain);
+    }
+
     /// Takes over the new ones among `targets`, which this instance should own.
     /// Other targets are released only once their new owner has fenced this
     /// instance off.
@@ -297,6 +308,7 @@
                 request,
                 wait: Cell::default(),
             };
+            shared.record_arrival(&queued.request, now);
             shared.enqueue(key, now + goal.saturating_sub(estimate), queued);
             shared.dispatch();
             guard.finish(outcome.await)
@@ -402,6 +414,12 @@
         for (priority, delay) in start_delays {
             load.set_start_delay(priority, delay);
         }
+        for (priority, arrival_rate) in &*self.0.arrival_rates.borrow() {
+            let cores = arrival_rate.cores(now);
+            if cores > 0 {
+                load.set_arriving_cores(*priority, cores);
+            }
+        }
         load
     }
 
@@ -587,6 +605,12 @@
         self.backlog_positions.borrow_mut().insert(key, position);
     }
 
+    fn record_arrival(&self, request: &RunRequest, now: Instant) {
+        let mut arrival_rates = self.arrival_rates.borrow_mut();
+        let arrival_rate = arrival_rates.entry(request.priority).or_default();
+        arrival_rate.record(work_core_ms(request), now);
+    }
+
     /// Returns a run to the backlog whose start certainly had no effect.
     fn requeue(&self, key: RunKey, run: Run) {
         let (Some(request), Some(reply)) = (run.request, run.reply) else {
--- a/crates/fleet/tests/sessions/waiting.rs
+++ b/crates/fleet/tests/sessions/waiting.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bluebellpath_fleet::frontend::{Answer, Submission};
-use bluebellpath_runtime::{clock, runtime};
+use bluebellpath_runtime::{clock, runtime, spawn};
 
 use futures_util::future::join;
 
@@ -69,15 +69,22 @@
         let node = &system.instances[0].node;
         let submit_small = async {
             for job in 100..150 {
-                let small = JobSpec {
-                    job,
-                    tasks: 1,
-                    cores: 24,
-                    run_ms: 100,
-                    ..JobSpec::default()
+                // One ends before the next arrives, so at least one is always running.
+                // The goal is long enough for admission behind the wide task.
+                let small = Submission {
+                    latency_goal: Duration::from_secs(1),
+                    ..JobSpec {
+                        job,
+                        tasks: 1,
+                        cores: 24,
+                        run_ms: 90,
+                        ..JobSpec::default()
+                    }
+                    .submission()
                 };
-                system.submit(0, small);
-                sleep_ms(45).await;
+                let frontend = node.frontend().clone();
+                drop(spawn(async move { frontend.submit(small).await }));
+                sleep_ms(50).await;
             }
         };
         let submit_wide = async {
