--- a/crates/fleet/src/scheduler/mod.rs
+++ b/crates/fleet/src/scheduler/mod.rs
@@ -15,6 +15,7 @@
 mod run_control;
 mod held_target;
 mod poll_loop;
+mod wait_or_start;
 
 use std::{
     cell::{Cell, Ref, RefCell},
@@ -29,7 +30,10 @@
 use futures_util::future::join_all;
 use slog::{Logger, info};
 
-use self::held_target::{HeldTarget, Phase, Run, RunKey, millis};
+use self::{
+    held_target::{HeldTarget, Phase, Run, RunKey, millis},
+    wait_or_start::Waits,
+};
 use crate::{
     InjectedFault, Target,
     backlog::{Backlog, Position},
@@ -41,7 +45,7 @@
     identity::Identity,
     lost_answers::LostAnswers,
     messages::{Load, NotStartedReason, RunOutcome, RunRequest},
-    placement::{self, Candidate},
+    placement::{self, Decision, Wait},
     reservation::{self, Reservations},
     room::{ArrivalRate, Room, TargetRoom},
     start_delay::StartDelays,
@@ -123,6 +127,7 @@
     denied_runs: RefCell<BTreeMap<RunKey, Instant>>,
     /// Reports on lost targets that were not sent yet, with the frontends of the tasks.
     loss_reports: RefCell<Vec<(LossReport, BTreeSet<SocketAddr>)>>,
+    waits: Waits,
     lost_answers: RefCell<LostAnswers>,
     start_delays: RefCell<StartDelays>,
     /// Failure domain whose targets no other instance can have taken over unnoticed.
@@ -134,6 +139,8 @@
     reply: oneshot::Sender<RunOutcome>,
     queued_at: Instant,
     expires_at: Instant,
+    /// Wait for a better target than the free ones.
+    wait: Cell<Option<Wait>>,
 }
 
 impl Scheduler {
@@ -161,6 +168,7 @@
             leaving: Cell::new(false),
             denied_runs: RefCell::default(),
             loss_reports: RefCell::default(),
+            waits: Waits::default(),
             lost_answers: RefCell::default(),
             start_delays: RefCell::default(),
             heard_domain: RefCell::default(),
@@ -298,6 +306,7 @@
                     + Duration::from_millis(request.start_timeout_ms.into()).max(MIN_START_TIMEOUT),
                 reply,
                 request,
+                wait: Cell::default(),
             };
             shared.record_arrival(&queued.request, now);
             shared.enqueue(key, now + goal.saturating_sub(estimate), queued);
@@ -400,7 +409,7 @@
             load.add_backlog(position.priority, work_core_ms(&queued.request));
         }
         let waiting = backlog.iter();
-        let waiting = waiting.map(|(position, it)| (position.priority, now - it.queued_at));
+        let waiting = waiting.map(|(position, it)| (position.priority, it.start_delay(now)));
         let start_delays = self.0.start_delays.borrow().summarize(waiting, now);
         for (priority, delay) in start_delays {
             load.set_start_delay(priority, delay);
@@ -420,6 +429,11 @@
         self.0.loss_reports.take()
     }
 
+    /// Numbers of starts near and far from the data, and after waits.
+    pub fn placement_counts(&self) -> placement::Counts {
+        self.0.waits.counts()
+    }
+
     /// Numbers of running and waiting tasks.
     pub fn task_counts(&self) -> (usize, usize) {
         let held = self.0.held_targets.borrow();
@@ -611,6 +625,7 @@
             reply,
             queued_at: run.started_at,
             expires_at: run.expires_at,
+            wait: Cell::default(),
         };
         self.enqueue(key, run.start_by, queued);
     }
@@ -678,6 +693,7 @@
         }
         loop {
             let Some((position, held)) = self.next_start() else {
+                self.arm_wait_timer();
                 self.refuse_late(now);
                 return;
             };
@@ -686,10 +702,11 @@
             };
             let key = (queued.request.task, queued.request.run);
             self.backlog_positions.borrow_mut().remove(&key);
+            self.record_placement(&queued, &held);
             let now = clock::now();
             self.start_delays
                 .borrow_mut()
-                .record(position.priority, now - queued.queued_at, now);
+                .record(position.priority, queued.start_delay(now), now);
             run_control::spawn_start(self, &held, position, queued);
         }
     }
@@ -725,28 +742,26 @@
         let startable = self.startable_targets();
         let free: Vec<_> = startable.iter().map(|it| it.free_resources()).collect();
         let mut reservations = Reservations::new(startable.len());
+        let mut round = self.new_round(&backlog, &startable, now);
         backlog.scan(now).find_map(|(position, queued)| {
             let request = &queued.request;
             let goal = position.start_by - now + Duration::from_millis(request.estimate_ms.into());
-            let eligible = startable
-                .iter()
-                .enumerate()
-                .filter(|(_, it)| is_eligible(it, request));
-            let candidates = eligible.map(|(index, it)| {
-                let state = it.state.borrow();
-                let candidate = Candidate {
-                    free: free[index],
-                    expected_run_time: self.estimate_run_time(&it.target.borrow(), &state, request),
-                    healthy: state.circuit_breaker.is_closed(),
-                };
-                (index, candidate)
+            let mut places = self.places(request, &startable, &free);
+            places.retain(|it| {
+                let end = now + it.candidate.expected_run_time;
+                reservations.allow(it.target, request.resources, end)
             });
-            let candidates = candidates.filter(|(index, it)| {
-                reservations.allow(*index, request.resources, now + it.expected_run_time)
-            });
-            match placement::choose(request.resources, goal, candidates) {
-                Some(chosen) => Some((position, startable[chosen].clone())),
-                None => {
+            match round.decide(&self.placement_task(position, queued, goal, now), &places) {
+                Decision::Start(target) => Some((position, startable[target].clone())),
+                Decision::Wait {
+                    target,
+                    until,
+                    wait,
+                } => {
+                    self.record_wait(queued, &startable[target], until, wait, now);
+                    None
+                }
+                Decision::NoPlace => {
                     self.reserve(&mut reservations, &startable, position, request, now);
                     None
                 }
@@ -835,12 +850,9 @@
         state: &held_target::State,
         request: &RunRequest,
     ) -> Duration {
-        let declared = Duration::from_millis(request.estimate_ms.into());
-        let expected = state.estimator.estimate(declared);
-        match &request.affinity {
-            Some(rack) if !target.has_label(rack) => expected.mul_f64(self.config.far_factor),
-            _ => expected,
-        }
+        state
+            .estimator
+            .estimate(self.declared_run_time(target, request))
     }
 
     /// Polls the held targets among `short_ids` at once. Returns each with the
@@ -1071,7 +1083,7 @@
             ExitStatus::Done => {
                 state.circuit_breaker.record_success();
                 if let Some(request) = &run.request {
-                    let declared = Duration::from_millis(request.estimate_ms.into());
+                    let declared = self.declared_run_time(&held.target.borrow(), request);
                     state.estimator.record(declared, took);
                 }
             }
--- a/crates/fleet/tests/sessions/main.rs
+++ b/crates/fleet/tests/sessions/main.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod evacuation;
 mod growth;
+mod locality;
 mod injected_faults;
 mod lost_answers;
 mod overload;
