Stop overdue runs only if nothing shows that the task itself is long

Cause: a run was stopped after four times its estimate and 300 ms, whatever else its target did. The 3 % of tasks that take seven times as long as declared were stopped on targets that work and started over elsewhere, with the same end.

Change: a run that is overdue goes on, up to twelve times its estimate, if a run that started later on the target has succeeded, or if the same holds for an overdue run of the same job on another target. Targets that hang are detected as before. The decision is a module of its own with a table of cases; the new session test fails without it (answer unknown instead of completed).

--- a/crates/fleet/src/circuit_breaker.rs
+++ b/crates/fleet/src/circuit_breaker.rs
@@ -7,9 +7,8 @@
 Once the time has passed the breaker is half-open: the target gets a single task
 first.
 
-A target may also accept tasks and never finish them. A run that takes much
-longer than estimated is stopped and counts as a failure, so that its task can
-run elsewhere before its deadline.
+A target may also accept tasks and never finish them. A run that is stopped because
+it is overdue ([`overdue`](crate::overdue)) counts as a failure.
 */
 
 use std::time::Duration;
@@ -27,18 +26,6 @@
 /// recovered stays unused.
 const MAX_OPEN_TIME: Duration = Duration::from_secs(4);
 
-/// Multiple of the estimated run time after which a run is overdue. Declared run
-/// times are wrong by a factor of up to three.
-const OVERDUE_FACTOR: u32 = 4;
-
-/// Time added to the limit for overdue runs: a few polls of the target.
-const OVERDUE_MARGIN: Duration = Duration::from_millis(300);
-
-/// Whether a run that was estimated to take `expected` will probably never end.
-pub fn is_overdue(expected: Duration, elapsed: Duration) -> bool {
-    elapsed > expected * OVERDUE_FACTOR + OVERDUE_MARGIN
-}
-
 /// Circuit breaker of one target.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct CircuitBreaker {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,7 +19,7 @@
 * [`crash_history`]: the tasks that were running on targets which were lost.
 * [`membership`]: the other instances, their load and whether they are alive.
 * [`owner_selection`], [`backlog`], [`reservation`], [`placement`], [`forecast`], [`admission`], [`run_time`],
-  [`circuit_breaker`], [`read_schedule`]: decisions without I/O.
+  [`circuit_breaker`], [`overdue`], [`read_schedule`]: decisions without I/O.
 
 This crate does no I/O of its own: it reaches targets through
 [`target_client::TargetClient`], instances through [`membership::Transport`] and the
@@ -43,6 +43,7 @@
 pub mod ownership;
 mod injected_fault;
 pub mod backlog;
+pub mod overdue;
 pub mod reservation;
 mod resource;
 pub mod placement;
--- a/crates/fleet/src/scheduler/held_target.rs
+++ b/crates/fleet/src/scheduler/held_target.rs
@@ -127,6 +127,8 @@
     /// frontends, until it is known what became of it.
     suspects: BTreeMap<TaskId, SocketAddr>,
     pub(super) estimator: Estimator,
+    /// Latest start of a run that has succeeded.
+    pub(super) last_done_start: Option<Instant>,
     pub(super) circuit_breaker: CircuitBreaker,
     pub(super) last_heard: Instant,
 }
@@ -151,6 +153,7 @@
                 unclaimed_ends: VecDeque::new(),
                 suspects: BTreeMap::new(),
                 estimator: Estimator::default(),
+                last_done_start: None,
                 circuit_breaker: CircuitBreaker::default(),
                 last_heard: now,
             }),
@@ -424,6 +427,7 @@
         self.incarnation_ms = None;
         self.unclaimed_ends.clear();
         self.circuit_breaker = CircuitBreaker::default();
+        self.last_done_start = None;
     }
 
     /// Removes and returns the result of the run `key` if it has ended unclaimed.
--- a/crates/fleet/src/scheduler/mod.rs
+++ b/crates/fleet/src/scheduler/mod.rs
@@ -31,14 +31,14 @@
 
 use self::held_target::{HeldTarget, Phase, Run, RunKey, millis};
 use crate::{
-    InjectedFault, Target,
+    InjectedFault, JobId, Target,
     backlog::{Backlog, Position},
-    circuit_breaker,
     crash_history::{Fate, LossReport},
     fencing::TokenSource,
     forecast::Occupancy,
     identity::Identity,
     messages::{Load, NotStartedReason, RunOutcome, RunRequest},
+    overdue::ActiveRun,
     placement::{self, Candidate},
     reservation::{Reservations, Room},
     target_client::{ExitStatus, TargetClient},
@@ -852,31 +852,40 @@
         false
     }
 
-    /// Stops overdue runs, which will probably never end.
+    /// Stops overdue runs that will probably never end.
     fn stop_overdue(self: &Rc<Self>, now: Instant) {
         let held: Vec<_> = self.held_targets.borrow().values().cloned().collect();
-        for held in held {
-            let mut state = held.state.borrow_mut();
-            let target = held.target.borrow();
-            let overdue = state.runs.iter().filter(|(_, run)| {
-                let Some(request) = run.request.as_ref() else {
-                    return false;
-                };
-                let expected = self.estimate_run_time(&target, &state, request);
-                run.phase == Phase::Running
-                    && circuit_breaker::is_overdue(expected, now - run.started_at)
-            });
-            let overdue: Vec<RunKey> = overdue.map(|(key, _)| *key).collect();
-            for _ in &overdue {
-                state.circuit_breaker.record_failure(now);
-            }
-            drop((state, target));
-            for key in overdue {
-                self.cancel(key, "overdue");
+        let runs: Vec<_> = held.iter().map(|it| self.active_runs(it)).collect();
+        let long = runs.iter().flatten().filter(|(_, run)| run.is_long(now));
+        let long_jobs: BTreeSet<JobId> = long.map(|(key, _)| key.0.job).collect();
+        for (held, runs) in held.iter().zip(runs) {
+            for (key, run) in runs {
+                if run.should_stop(long_jobs.contains(&key.0.job), now) {
+                    held.state.borrow_mut().circuit_breaker.record_failure(now);
+                    self.cancel(key, "overdue");
+                }
             }
         }
     }
 
+    /// Runs on a target that have a request and are not being stopped.
+    fn active_runs(&self, held: &HeldTarget) -> Vec<(RunKey, ActiveRun)> {
+        let state = held.state.borrow();
+        let target = held.target.borrow();
+        let running = state.runs.iter();
+        let running = running.filter(|(_, run)| run.phase == Phase::Running);
+        let active = running.filter_map(|(key, run)| {
+            let request = run.request.as_ref()?;
+            let active = ActiveRun {
+                started_at: run.started_at,
+                expected: self.estimate_run_time(&target, &state, request),
+                last_done_start: state.last_done_start,
+            };
+            Some((*key, active))
+        });
+        active.collect()
+    }
+
     /// Handles the events that a status of a target caused.
     fn apply_events(self: &Rc<Self>, held: &Rc<HeldTarget>, events: Vec<held_target::RunEvent>) {
         for event in events {
@@ -921,6 +930,7 @@
         match exit_status {
             ExitStatus::Done => {
                 state.circuit_breaker.record_success();
+                state.last_done_start = state.last_done_start.max(Some(run.started_at));
                 if let Some(request) = &run.request {
                     let declared = Duration::from_millis(request.estimate_ms.into());
                     state.estimator.record(declared, took);
--- a/crates/fleet/tests/decisions.rs
+++ b/crates/fleet/tests/decisions.rs
@@ -17,6 +17,7 @@
     forecast::Occupancy,
     identity::{Claim, Claimed, Identity, StoredIdentity},
     messages::Load,
+    overdue::ActiveRun,
     owner_selection::{self, Demand, Distance, Owner},
     ownership::{Assignment, Candidate},
     placement,
@@ -773,6 +774,62 @@
     assert!(breaker.is_closed() && !breaker.is_open(at(500)));
 }
 
+#[test]
+fn overdue_runs_are_stopped_unless_the_task_is_long() {
+    struct Case {
+        what: &'static str,
+        last_done_start: Option<u64>,
+        job_is_long: bool,
+        /// Longest time for which the run may last.
+        limit: u64,
+    }
+    let (overdue, stuck) = (4 * 200 + 300, 12 * 200 + 300);
+    let cases = [
+        Case {
+            what: "nothing has ended on the target",
+            last_done_start: None,
+            job_is_long: false,
+            limit: overdue,
+        },
+        Case {
+            what: "only runs that started earlier have ended",
+            last_done_start: Some(1_000),
+            job_is_long: false,
+            limit: overdue,
+        },
+        Case {
+            what: "a run that started later has ended",
+            last_done_start: Some(1_001),
+            job_is_long: false,
+            limit: stuck,
+        },
+        Case {
+            what: "another run of the job is long",
+            last_done_start: None,
+            job_is_long: true,
+            limit: stuck,
+        },
+    ];
+    for case in cases {
+        let run = ActiveRun {
+            started_at: at(1_000),
+            expected: ms(200),
+            last_done_start: case.last_done_start.map(at),
+        };
+        let stops_at = |now| run.should_stop(case.job_is_long, at(now));
+        assert!(!stops_at(1_000 + case.limit), "{}", case.what);
+        assert!(stops_at(1_001 + case.limit), "{}", case.what);
+        let is_long = run.is_long(at(1_001 + overdue));
+        assert_eq!(
+            is_long,
+            case.last_done_start == Some(1_001),
+            "{}",
+            case.what
+        );
+        assert!(!run.is_long(at(1_000 + overdue)), "{}", case.what);
+    }
+}
+
 #[test]
 fn run_times_are_learned_from_a_few_runs() {
     let mut estimator = Estimator::default();
--- a/crates/fleet/tests/sessions/waiting.rs
+++ b/crates/fleet/tests/sessions/waiting.rs
@@ -110,3 +110,44 @@
         system.assert_no_violations();
     });
 }
+
+/// Guards against a task that is started over because it takes longer than declared,
+/// while other tasks show that its targets work.
+#[test]
+fn a_long_task_is_not_stopped_on_a_target_that_works() {
+    runtime::paused(async {
+        let system = System::start(SMALL).await;
+        let node = &system.instances[0].node;
+        let long = JobSpec {
+            tasks: 2,
+            cores: 20,
+            ..JobSpec::default()
+        };
+        // Seven times as long as declared.
+        let long = Submission {
+            spec: "20000 1400".into(),
+            ..long.submission()
+        };
+        let submit_short = async {
+            for job in 100..150 {
+                let short = JobSpec {
+                    job,
+                    tasks: 8,
+                    cores: 20,
+                    run_ms: 30,
+                    ..JobSpec::default()
+                };
+                system.submit((job % 4) as usize, short);
+                sleep_ms(30).await;
+            }
+        };
+        let submit_long = async {
+            sleep_ms(100).await;
+            node.frontend().submit(long).await
+        };
+        let (_, answer) = join(submit_short, submit_long).await;
+        assert_eq!(answer, Answer::Completed);
+        assert_eq!(system.started_runs(1), 2);
+        system.assert_no_violations();
+    });
+}
