--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,8 +20,8 @@
 * [`crash_history`]: the tasks that were running on targets which were lost.
 * [`membership`]: the other instances, their load and whether they are alive.
 * [`owner_selection`], [`backlog`], [`reservation`], [`placement`], [`forecast`],
-  [`room`], [`start_delay`], [`admission`], [`run_time`], [`circuit_breaker`],
-  [`lost_answers`], [`read_schedule`]: decisions without I/O.
+  [`room`], [`admission`], [`run_time`], [`circuit_breaker`],
+  [`overdue`], [`lost_answers`], [`read_schedule`]: decisions without I/O.
 
 This crate does no I/O of its own: it reaches targets through
 [`target_client::TargetClient`], instances through [`membership::Transport`] and the
@@ -49,6 +49,7 @@
 pub mod ownership;
 mod injected_fault;
 pub mod backlog;
+pub mod overdue;
 pub mod reservation;
 mod resource;
 pub mod placement;
