Let the margin for overtaking grow with the load

Cause: jobs of low priority were refused while there was room, since a margin for overtaking applied whenever any urgent work arrived.

Change: the margin grows from nothing to all while the arriving work keeps 50 to 75 % of the cores busy; targets are full at about 75 %.

--- a/crates/fleet/src/frontend/mod.rs
+++ b/crates/fleet/src/frontend/mod.rs
@@ -386,7 +386,7 @@
             .collect();
         let cpu = steps.iter().map(|it| it.cpu).max().unwrap_or_default();
         let usable = owners.iter().filter(|it| it.reachable);
-        let usable_loads = || owners.iter().filter(|it| it.reachable).map(|it| &it.load);
+        let usable_loads = usable.clone().map(|it| &*it.load);
         let mut forecasts: Vec<Forecast> = usable
             .map(|it| Forecast::new(&it.load, it.load_age, submission.priority, cpu))
             .collect();
@@ -409,7 +409,7 @@
         let estimate = Estimate {
             wait,
             end,
-            overtaken: usable_loads().any(|it| it.has_arrivals_ahead_of(submission.priority)),
+            overtaking_permille: admission::overtaking_permille(submission.priority, usable_loads),
             time_limit,
             priority: submission.priority,
             spread: submission.job.0,
--- a/crates/fleet/tests/decisions.rs
+++ b/crates/fleet/tests/decisions.rs
@@ -697,7 +697,7 @@
         let estimate = Estimate {
             wait: ms(case.wait_ms),
             end: ms(case.wait_ms + case.run_ms),
-            overtaken: case.overtaken,
+            overtaking_permille: if case.overtaken { 1_000 } else { 0 },
             time_limit: ms(case.limit_ms),
             priority: 0,
             // Returns first.
@@ -707,6 +707,26 @@
     }
 }
 
+/// Guards against a margin for overtaking that costs jobs of low priority while there
+/// is room.
+#[test]
+fn a_job_is_overtaken_only_by_urgent_work_on_busy_targets() {
+    let risk = |priority, urgent_cores, other_cores| {
+        let mut load = Load {
+            total_cores: 100,
+            ..Load::default()
+        };
+        load.set_arriving_cores(0, urgent_cores);
+        load.set_arriving_cores(2, other_cores);
+        admission::overtaking_permille(priority, [load.clone(), load].iter())
+    };
+    assert_eq!(risk(1, 10, 40), 0);
+    assert_eq!(risk(1, 10, 50), 400);
+    assert_eq!(risk(1, 10, 90), 1_000);
+    assert_eq!(risk(1, 0, 90), 0);
+    assert_eq!(risk(0, 10, 90), 0);
+}
+
 /// Guards against the jobs of a burst returning at the same moment, and against
 /// urgent jobs returning behind those that they would overtake.
 #[test]
