--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -24,7 +24,7 @@
 
 /// Percentages of the expected wait and run time that must fit into the goal of a job
 /// while nothing overtakes it. With 300 and 140, less than a fifth of the most urgent
-/// jobs were served at three times the load, and two fifths with these.
+/// jobs were served at three times the load, and a third with these.
 const WAIT_PERCENT: u32 = 230;
 const RUN_PERCENT: u32 = 110;
 
