Admit by the forecast alone, shed late tasks only under contention

Change: twice the expected wait and the run time must fit into the goal, for every priority; late tasks give way only while tasks that can be in time wait for every target of the owner.

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -11,7 +11,7 @@
 
 use std::time::Duration;
 
-use crate::{messages::Load, owner_selection, room::Forecast};
+use crate::{owner_selection, room::Forecast};
 
 /// Shortest retry delay.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -22,24 +22,9 @@
 /// Lowest priority with retry delays of its own; lower ones share them.
 const LAST_RETRY_PRIORITY: u8 = 3;
 
-/// Percentages of the expected wait and run time that must fit into the goal of a job
-/// while nothing overtakes it. With 300 and 140, less than a fifth of the most urgent
-/// jobs were served at three times the load, and a third with these.
-const WAIT_PERCENT: u32 = 230;
-const RUN_PERCENT: u32 = 110;
-
-/// Percentages added for a job that is overtaken under full load. Declared run times are
-/// off by 40 %; the wait doesn't contain what arrives meanwhile. Without them, 345
-/// targets served 879 jobs/s in time at three times the load and 1,050 at twice.
-const OVERTAKEN_WAIT_PERCENT: u32 = 70;
-const OVERTAKEN_RUN_PERCENT: u32 = 30;
-
-/// Shares of the cores that arriving work keeps busy, in thousandths, between which the
-/// additions grow from nothing to all. Half of all pairs don't fit on one target, so
-/// targets are full at about 750. Additions at any load cost half of the jobs of the
-/// lowest priority already at 500.
-const BUSY_FROM_PERMILLE: u64 = 500;
-const BUSY_TO_PERMILLE: u64 = 750;
+/// Percentage of the expected wait that must fit into the goal of a job. The wait does
+/// not contain what arrives meanwhile and goes first.
+const WAIT_PERCENT: u32 = 200;
 
 /// Expected times of a job when it arrives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,8 +33,6 @@
     pub wait: Duration,
     /// Expected time until its last task ends.
     pub end: Duration,
-    /// Risk that arriving work of a higher priority overtakes the job, in thousandths.
-    pub overtaking_permille: u32,
     /// Time after which its answer is too late.
     pub time_limit: Duration,
     /// Priority, 0 is the highest.
@@ -122,29 +105,10 @@
     Some((Duration::from_millis(wait_ms), end))
 }
 
-/// Risk in thousandths that arriving work overtakes a job of `priority`.
-pub fn overtaking_permille<'a>(priority: u8, loads: impl Iterator<Item = &'a Load>) -> u32 {
-    let (mut cores, mut busy, mut overtaking) = (0, 0, false);
-    for load in loads {
-        cores += u64::from(load.total_cores);
-        busy += load.arriving_cores(u8::MAX);
-        overtaking |= load.has_arrivals_ahead_of(priority);
-    }
-    if !overtaking {
-        return 0;
-    }
-    let busy_permille = (busy * 1_000 / cores.max(1)).clamp(BUSY_FROM_PERMILLE, BUSY_TO_PERMILLE);
-    let range = BUSY_TO_PERMILLE - BUSY_FROM_PERMILLE;
-    u32::try_from((busy_permille - BUSY_FROM_PERMILLE) * 1_000 / range).unwrap_or(1_000)
-}
-
 /// Decides whether to admit a job.
 pub fn decide(estimate: Estimate) -> Decision {
     let run_time = estimate.end.saturating_sub(estimate.wait);
-    let added = |percent: u32| percent * estimate.overtaking_permille / 1_000;
-    let wait_percent = WAIT_PERCENT + added(OVERTAKEN_WAIT_PERCENT);
-    let run_percent = RUN_PERCENT + added(OVERTAKEN_RUN_PERCENT);
-    let end = (estimate.wait * wait_percent + run_time * run_percent) / 100;
+    let end = estimate.wait * WAIT_PERCENT / 100 + run_time;
     if estimate.wait.is_zero() || end <= estimate.time_limit {
         return Decision::Admit;
     }
--- a/crates/fleet/src/backlog.rs
+++ b/crates/fleet/src/backlog.rs
@@ -10,7 +10,7 @@
 
 Each task has a time after which a start is of no value. [`Backlog::take_expired`]
 removes such tasks, so that their jobs are given up before they cost capacity. While
-tasks that can be in time wait for capacity, [`Backlog::take_late`] removes the late
+many tasks that can be in time wait for capacity, [`Backlog::take_late`] removes the late
 ones of the same priority: their job is late whatever its other tasks do, and those
 take the capacity of jobs that could be in time.
 */
@@ -114,9 +114,12 @@
     }
 
     /// Removes and returns the tasks that can only be late at `now`, of each priority
-    /// of which other tasks can still be in time.
-    pub fn take_late(&mut self, now: Instant) -> Vec<T> {
-        let is_short = |it: &u8| self.on_time(*it, now).next().is_some();
+    /// of which at least `min_on_time` other tasks can still be in time.
+    ///
+    /// While fewer of these wait, capacity comes soon enough for the late ones too.
+    pub fn take_late(&mut self, now: Instant, min_on_time: usize) -> Vec<T> {
+        let on_time = |it: u8| self.on_time(it, now).take(min_on_time).count();
+        let is_short = |it: &u8| on_time(*it) >= min_on_time;
         let late = self.priorities().filter(is_short);
         let late = late.flat_map(|it| self.late(it, now).map(|it| *it.0));
         let late: Vec<Position> = late.collect();
--- a/crates/fleet/src/frontend/mod.rs
+++ b/crates/fleet/src/frontend/mod.rs
@@ -40,7 +40,6 @@
     owner_selection::{self, Demand, Distance, Owner},
     room::Forecast,
     scheduler::{DropPolicy, Scheduler},
-    start_delay,
     target_list::TargetList,
 };
 
@@ -387,7 +386,6 @@
             .collect();
         let cpu = steps.iter().map(|it| it.cpu).max().unwrap_or_default();
         let usable = owners.iter().filter(|it| it.reachable);
-        let usable_loads = usable.clone().map(|it| &*it.load);
         let mut forecasts: Vec<Forecast> = usable
             .map(|it| Forecast::new(&it.load, it.load_age, submission.priority, cpu))
             .collect();
@@ -403,19 +401,13 @@
             false => (submission.deadline, submission.deadline + run_time),
         };
         let (wait, end) = expected.unwrap_or(unknown);
-        let tasks = steps.iter().map(|it| it.tasks).max().unwrap_or_default();
-        let reachable = owners.iter().filter(|it| it.reachable);
-        let measured = reachable.flat_map(|it| it.load.start_delays());
-        let delay = start_delay::expected_delay(submission.priority, tasks, measured);
-        let end = end.max(delay + run_time);
         let mut time_limit = submission.latency_goal.min(submission.deadline);
         if let Some(at) = self.answer_by.get() {
             time_limit = time_limit.min(at - clock::now());
         }
         let estimate = Estimate {
-            wait: wait.max(delay),
+            wait,
             end,
-            overtaking_permille: admission::overtaking_permille(submission.priority, usable_loads),
             time_limit,
             priority: submission.priority,
             spread: submission.job.0,
@@ -423,7 +415,7 @@
         let decision = admission::decide(estimate);
         if let Decision::Refuse(retry) = decision {
             info!(self.log, "job refused at its arrival"; "job" => %submission.job,
-                "wait_ms" => millis(wait), "delay_ms" => millis(delay), "end_ms" => millis(end), "limit_ms" => millis(time_limit),
+                "wait_ms" => millis(wait), "end_ms" => millis(end), "limit_ms" => millis(time_limit),
                 "owners" => owners.len(), "oldest_load_ms" => millis(self.membership.oldest_load_age()),
                 "retry_ms" => millis(retry));
         }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -39,7 +39,6 @@
 pub mod forecast;
 pub mod lost_answers;
 pub mod room;
-pub mod start_delay;
 pub mod owner_selection;
 pub mod frontend;
 pub mod scheduler;
--- a/crates/fleet/src/messages.rs
+++ b/crates/fleet/src/messages.rs
@@ -6,7 +6,7 @@
 use bluebellpath_runtime::clock;
 use serde::{Deserialize, Serialize};
 
-use crate::{Resources, TaskId, crash_history::Loss, room::Room, start_delay::StartDelay};
+use crate::{Resources, TaskId, crash_history::Loss, room::Room};
 
 /// Reading of the clocks of an instance.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -145,7 +145,7 @@
     pub backlog: Vec<Waiting>,
 }
 
-/// Waiting tasks of one priority, and the delay of those that started.
+/// Waiting tasks of one priority.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Waiting {
     /// Priority; 0 is the highest.
@@ -154,10 +154,6 @@
     pub tasks: u16,
     /// Work in core-milliseconds.
     pub core_ms: u32,
-    /// Tasks that started lately or wait, over which `start_delay_ms` is the mean.
-    pub recent_starts: u16,
-    /// Mean time from arrival to start, in milliseconds.
-    pub start_delay_ms: u16,
     /// Cores that are kept busy by the work of this priority that arrives.
     pub arriving_cores: u16,
 }
@@ -191,22 +187,6 @@
         entry.core_ms = entry.core_ms.saturating_add(core_ms);
     }
 
-    /// Sets the start delay that was measured for `priority`.
-    pub fn set_start_delay(&mut self, priority: u8, delay: StartDelay) {
-        let entry = self.waiting_mut(priority);
-        entry.recent_starts = delay.starts;
-        entry.start_delay_ms = delay.mean_ms;
-    }
-
-    /// Start delays that were measured, by priority.
-    pub fn start_delays(&self) -> impl Iterator<Item = (u8, StartDelay)> {
-        let delay = |it: &Waiting| StartDelay {
-            starts: it.recent_starts,
-            mean_ms: it.start_delay_ms,
-        };
-        self.backlog.iter().map(move |it| (it.priority, delay(it)))
-    }
-
     /// Sets the cores that arriving work of `priority` keeps busy.
     pub fn set_arriving_cores(&mut self, priority: u8, cores: u16) {
         self.waiting_mut(priority).arriving_cores = cores;
--- a/crates/fleet/src/scheduler/mod.rs
+++ b/crates/fleet/src/scheduler/mod.rs
@@ -48,7 +48,6 @@
     placement::{self, Decision, Wait},
     reservation::{self, Reservations},
     room::{ArrivalRate, Room, TargetRoom},
-    start_delay::StartDelays,
     target_client::{ExitStatus, TargetClient},
 };
 
@@ -129,7 +128,6 @@
     loss_reports: RefCell<Vec<(LossReport, BTreeSet<SocketAddr>)>>,
     waits: Waits,
     lost_answers: RefCell<LostAnswers>,
-    start_delays: RefCell<StartDelays>,
     /// Failure domain whose targets no other instance can have taken over unnoticed.
     heard_domain: RefCell<Option<Rc<str>>>,
 }
@@ -170,7 +168,6 @@
             loss_reports: RefCell::default(),
             waits: Waits::default(),
             lost_answers: RefCell::default(),
-            start_delays: RefCell::default(),
             heard_domain: RefCell::default(),
         }))
     }
@@ -408,12 +405,6 @@
         for (position, queued) in backlog.iter() {
             load.add_backlog(position.priority, work_core_ms(&queued.request));
         }
-        let waiting = backlog.iter();
-        let waiting = waiting.map(|(position, it)| (position.priority, it.start_delay(now)));
-        let start_delays = self.0.start_delays.borrow().summarize(waiting, now);
-        for (priority, delay) in start_delays {
-            load.set_start_delay(priority, delay);
-        }
         for (priority, arrival_rate) in &*self.0.arrival_rates.borrow() {
             let cores = arrival_rate.cores(now);
             if cores > 0 {
@@ -661,9 +652,11 @@
         }
     }
 
-    /// Answers the late tasks of each priority of which other tasks can be in time.
+    /// Answers the late tasks of each priority of which tasks for every target wait that
+    /// can be in time.
     fn refuse_late(&self, now: Instant) {
-        let late = self.backlog.borrow_mut().take_late(now);
+        let targets = self.held_targets.borrow().len().max(1);
+        let late = self.backlog.borrow_mut().take_late(now, targets);
         for queued in late {
             self.refuse_waiting(queued, NotStartedReason::StartTimeout, now);
         }
@@ -703,10 +696,6 @@
             let key = (queued.request.task, queued.request.run);
             self.backlog_positions.borrow_mut().remove(&key);
             self.record_placement(&queued, &held);
-            let now = clock::now();
-            self.start_delays
-                .borrow_mut()
-                .record(position.priority, queued.start_delay(now), now);
             run_control::spawn_start(self, &held, position, queued);
         }
     }
--- a/crates/fleet/src/scheduler/wait_or_start.rs
+++ b/crates/fleet/src/scheduler/wait_or_start.rs
@@ -44,14 +44,6 @@
     }
 }
 
-impl QueuedRun {
-    /// Time for which the task has not been able to start. A wait for a better target
-    /// is not due to load, and must not make frontends refuse jobs.
-    pub(super) fn start_delay(&self, now: Instant) -> Duration {
-        self.wait.get().map_or(now, |it| it.since) - self.queued_at
-    }
-}
-
 impl Shared {
     /// Round of decisions on the tasks of `backlog`.
     pub(super) fn new_round(
