--- a/crates/fleet/src/messages.rs
+++ b/crates/fleet/src/messages.rs
@@ -166,12 +166,6 @@
         entries.map(|it| u64::from(it.core_ms)).sum()
     }
 
-    /// Whether work of a higher priority than `priority` arrives.
-    pub fn has_arrivals_ahead_of(&self, priority: u8) -> bool {
-        let mut entries = self.backlog.iter();
-        entries.any(|it| it.priority < priority && it.arriving_cores > 0)
-    }
-
     /// Cores that arriving work with the same or a higher priority than `priority`
     /// keeps busy.
     pub fn arriving_cores(&self, priority: u8) -> u64 {
