--- a/crates/fleet/src/owner_selection.rs
+++ b/crates/fleet/src/owner_selection.rs
@@ -106,7 +106,10 @@
             })
         })
         .collect();
-    let nearby: Vec<_> = holes.iter().filter(|it| is_nearby(it.0.2)).collect();
+    let is_nearby_in_time = |(lateness, _, distance): (Duration, u32, Distance)| {
+        lateness.is_zero() && is_nearby(distance)
+    };
+    let nearby: Vec<_> = holes.iter().filter(|it| is_nearby_in_time(it.0)).collect();
     let distant: Vec<_> = holes.iter().collect();
     let candidates = if nearby.is_empty() { distant } else { nearby };
     let best = sample(&candidates, demand.spread).min_by_key(|it| it.0);
