Hold 128 targets again, and name fewer ends of runs for so many

The bound was moved for the size of a heartbeat. Change: an owner of 96 targets and more names 4 ends of runs instead of 20, so that 128 targets, eight evacuations and eight priorities fit into a frame; the tests have their bounds back.

--- a/crates/fleet/src/room.rs
+++ b/crates/fleet/src/room.rs
@@ -9,7 +9,7 @@
 and about half of all pairs don't fit on one together, so cores that are free but
 too few for the next task stay empty in the forecast, as they do on the target.
 
-Load: up to 120 targets per owner, whose heartbeats go to each peer ten times a
+Load: up to 128 targets per owner, whose heartbeats go to each peer ten times a
 second in frames of 1,200 bytes, half of which name the targets. The summary is
 therefore quantised, and only the next [`MAX_OPENINGS`] ends are named.
 */
@@ -24,6 +24,14 @@
 /// Most ends of runs in one summary. Ten targets have about eighteen runs.
 const MAX_OPENINGS: usize = 20;
 
+/// Number of targets from which on only [`FEW_OPENINGS`] are named: the names of the
+/// targets leave no room for more in a frame. Only the owner of a domain that has lost
+/// most of its instances holds that many.
+const MANY_TARGETS: usize = 96;
+
+/// Most ends of runs in the summary of an owner of [`MANY_TARGETS`].
+const FEW_OPENINGS: usize = 4;
+
 /// Smallest unit of processor in a summary, in millicores. Whole cores are too coarse:
 /// with them, two tasks that just fit on one target together seem not to.
 const MIN_CPU_UNIT: u32 = 250;
@@ -148,8 +156,12 @@
             room.openings.extend(ends);
         }
         room.openings.sort_by_key(|it| it.after);
-        if room.openings.len() > MAX_OPENINGS {
-            let omitted = room.openings.split_off(MAX_OPENINGS);
+        let max_openings = match targets.len() < MANY_TARGETS {
+            true => MAX_OPENINGS,
+            false => FEW_OPENINGS,
+        };
+        if room.openings.len() > max_openings {
+            let omitted = room.openings.split_off(max_openings);
             let sum: usize = omitted.iter().map(|it| usize::from(it.after)).sum();
             room.later = u8::try_from(sum / omitted.len()).unwrap_or(u8::MAX).max(1);
         }
--- a/crates/fleet/src/scheduler/mod.rs
+++ b/crates/fleet/src/scheduler/mod.rs
@@ -73,7 +73,7 @@
 
 /// Most targets that are held. A heartbeat has no room for more, and an instance
 /// without heartbeats counts as failed.
-const MAX_HELD_TARGETS: usize = 120;
+const MAX_HELD_TARGETS: usize = 128;
 
 const MILLICORES_PER_CORE: u32 = 1_000;
 
