review: show that a paused owner reports a run as gone that goes on

Cause: after a pause, an owner takes the first heartbeat of its peers as proof that none of them has taken its targets over. If such a target is silent then, it ends the run by its own lease, although the next owner has renewed it.

--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -76,6 +76,10 @@
     let mut buffer = Vec::new();
     while let Some(request) = read_request(&mut stream, &mut buffer) {
         let (status, body) = handler(request);
+        // No answer: the channel ends.
+        if status == 0 {
+            break;
+        }
         let head = format!(
             "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
             body.len()
--- a/review/standin/scenario.rs
+++ b/review/standin/scenario.rs
@@ -153,6 +153,7 @@
 pub fn play(name: &str, root: &str, trouble: bool, record: &Arc<Record>) -> Result<(), String> {
     match name {
         "restart" => restart(root, trouble, record),
+        "paused" => paused(root, trouble, record),
         "smaller" => reborn(root, trouble, record, false),
         "relabelled" => reborn(root, trouble, record, true),
         _ => Err(format!("no case {name}")),
@@ -198,6 +199,50 @@
     Ok(())
 }
 
+/// A process that holds workers stands still for a second. Its neighbour takes the
+/// workers over. Shortly before the process goes on, one of the workers is cut off from
+/// all machines.
+fn paused(root: &str, trouble: bool, record: &Arc<Record>) -> Result<(), String> {
+    let number = |name, default| std::env::var(name).ok().and_then(|it| it.parse().ok()).unwrap_or(default);
+    let (pause, lead) = (number("PAUSE_MS", 1_000_u64), number("CUT_LEAD_MS", 150_u64));
+    let mut world = World::start(root, &["north", "north", "south"], record)?;
+    world.add_workers("north", 6, &kind(8_000, &["a", "r1"]));
+    world.add_workers("south", 3, &kind(8_000, &["a", "r2"]));
+    world.start_nodes()?;
+    let mut served = 0;
+    for round in 0..6_u64 {
+        // The tasks fill four of the six workers, so that both instances have some.
+        let job = Job::new(round + 1, 16, 2_000, 2_500, "");
+        let fronts = [world.nodes[0].front];
+        let client: JoinHandle<Option<u16>> = {
+            let record = record.clone();
+            thread::spawn(move || job.hand_in(&fronts, &record))
+        };
+        thread::sleep(Duration::from_millis(300));
+        if trouble {
+            world.nodes[1].signal("STOP");
+            thread::sleep(Duration::from_millis(pause - lead));
+            let victim = world.workers[usize::try_from(round % 6).unwrap_or(0)].clone();
+            victim.set_cut(true);
+            thread::sleep(Duration::from_millis(lead));
+            world.nodes[1].signal("CONT");
+            thread::sleep(Duration::from_millis(2_500));
+            victim.set_cut(false);
+        }
+        served += u64::from(client.join().ok().flatten() == Some(200));
+        world.settle();
+        if !record.broken().is_empty() {
+            break;
+        }
+        thread::sleep(Duration::from_secs(3));
+    }
+    record.line(&format!("{served} jobs were served"));
+    if served == 0 {
+        return Err("no job was served".to_owned());
+    }
+    Ok(())
+}
+
 /// A worker crashes and starts again under its id, as another kind: with half of its
 /// capacity, or with another label. A job comes every 300 ms all the while; its tasks
 /// just fill the workers of one zone.
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -85,6 +85,8 @@
     record: Arc<Record>,
     life: Mutex<Option<Life>>,
     changed: Condvar,
+    /// True while the worker is cut off: nothing reaches it, and it runs on.
+    cut: Mutex<bool>,
     server: Mutex<Option<Server>>,
     address: Mutex<SocketAddr>,
 }
@@ -117,6 +119,7 @@
             record: record.clone(),
             life: Mutex::new(None),
             changed: Condvar::new(),
+            cut: Mutex::new(false),
             server: Mutex::new(None),
             address: Mutex::new(format!("{ip}:0").parse().unwrap()),
         });
@@ -147,7 +150,7 @@
         if address.port() != 0 {
             self.beat();
         }
-        let (server, address) = Server::start(address, Arc::new(move |it| handling.handle(it)))
+        let (server, address) = Server::start(address, Arc::new(move |it| handling.receive(it)))
             .expect("a worker's port is free");
         *self.address.lock().unwrap() = address;
         *self.server.lock().unwrap() = Some(server);
@@ -169,7 +172,17 @@
         }
     }
 
+    /// Cuts the worker off, or ends that.
+    pub fn set_cut(&self, cut: bool) {
+        *self.cut.lock().unwrap() = cut;
+        let text = if cut { "is cut off" } else { "is reached again" };
+        self.record.line(&format!("worker {} {text}", self.id));
+    }
+
     fn beat(&self) {
+        if *self.cut.lock().unwrap() {
+            return;
+        }
         let mut life = self.life.lock().unwrap();
         let Some(life) = life.as_mut() else { return };
         life.seq += 1;
@@ -214,6 +227,20 @@
         self.changed.notify_all();
     }
 
+    /// Takes an order, unless the worker is cut off: then neither the order nor an
+    /// answer gets through.
+    fn receive(self: &Arc<Worker>, request: Request) -> Reply {
+        let reply = match *self.cut.lock().unwrap() {
+            true => None,
+            false => Some(request),
+        };
+        let reply = reply.map(|it| self.handle(it));
+        while *self.cut.lock().unwrap() {
+            thread::sleep(Duration::from_millis(5));
+        }
+        reply.unwrap_or((0, String::new()))
+    }
+
     fn handle(self: &Arc<Worker>, request: Request) -> Reply {
         let body = Json::parse(&request.body).unwrap_or(Json::Null);
         let mut guard = self.life.lock().unwrap();
