--- a/review/standin/scenario.rs
+++ b/review/standin/scenario.rs
@@ -162,8 +162,10 @@
 
 /// A process that holds workers and has a job of a client in progress is killed, and
 /// starts again after a short delay, `RESTART_MS` milliseconds if that variable is set.
-/// The client sends its job again.
+/// The client sends its job again. With `AGAIN_MS` the process is killed once more, that
+/// many milliseconds after it has started again.
 fn restart(root: &str, trouble: bool, record: &Arc<Record>) -> Result<(), String> {
+    let again = std::env::var("AGAIN_MS").ok().and_then(|it| it.parse().ok());
     let delay = std::env::var("RESTART_MS").ok().and_then(|it| it.parse().ok()).unwrap_or(840);
     let mut world = World::start(root, &["north", "north", "south"], record)?;
     world.add_workers("north", 8, &kind(8_000, &["a", "r1"]));
@@ -183,6 +185,12 @@
             world.nodes[victim].kill();
             thread::sleep(Duration::from_millis(delay));
             world.nodes[victim].start()?;
+            if let Some(again) = again {
+                thread::sleep(Duration::from_millis(again));
+                world.nodes[victim].kill();
+                thread::sleep(Duration::from_millis(delay));
+                world.nodes[victim].start()?;
+            }
         }
         served += u64::from(client.join().ok().flatten() == Some(200));
         world.settle();
