--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -63,6 +63,13 @@
         Ok((Server { closed, streams }, address))
     }
 
+    /// Stops listening and leaves the connections open, as nobody hears of an end that
+    /// comes behind a cut.
+    pub fn abandon(&self) {
+        self.closed.store(true, Ordering::SeqCst);
+        thread::sleep(Duration::from_millis(5));
+    }
+
     pub fn close(&self) {
         self.closed.store(true, Ordering::SeqCst);
         thread::sleep(Duration::from_millis(5));
--- a/review/standin/scenario.rs
+++ b/review/standin/scenario.rs
@@ -154,6 +154,7 @@
     match name {
         "restart" => restart(root, trouble, record),
         "paused" => paused(root, trouble, record),
+        "unnoticed" => unnoticed(root, trouble, record),
         "smaller" => reborn(root, trouble, record, false),
         "relabelled" => reborn(root, trouble, record, true),
         _ => Err(format!("no case {name}")),
@@ -251,6 +252,38 @@
     Ok(())
 }
 
+/// A worker is cut off for a moment, crashes behind the cut and starts again under its id.
+/// A job comes right after it is reached again.
+fn unnoticed(root: &str, trouble: bool, record: &Arc<Record>) -> Result<(), String> {
+    let cut = std::env::var("CUT_MS").ok().and_then(|it| it.parse().ok()).unwrap_or(150);
+    let mut served = 0;
+    for round in 0..8_u64 {
+        let mut world = World::start(root, &["north", "north", "south"], record)?;
+        world.add_workers("north", 4, &kind(8_000, &["a", "r1"]));
+        world.add_workers("south", 4, &kind(8_000, &["a", "r2"]));
+        world.start_nodes()?;
+        if trouble {
+            let victim = &world.workers[usize::try_from(round % 4).unwrap_or(0)];
+            victim.set_cut(true);
+            thread::sleep(Duration::from_millis(cut));
+            victim.crash_behind_cut(kind(8_000, &["a", "r1"]));
+        }
+        // The tasks fill the workers of the zone.
+        let job = Job::new(round + 1, 16, 2_000, 1_500, "");
+        let front = world.nodes[usize::try_from(round % 2).unwrap_or(0)].front;
+        served += u64::from(job.hand_in(&[front], record) == Some(200));
+        world.settle();
+        if !record.broken().is_empty() {
+            break;
+        }
+    }
+    record.line(&format!("{served} jobs were served"));
+    if served == 0 {
+        return Err("no job was served".to_owned());
+    }
+    Ok(())
+}
+
 /// A worker crashes and starts again under its id, as another kind: with half of its
 /// capacity, or with another label. A job comes every 300 ms all the while; its tasks
 /// just fill the workers of one zone.
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -87,6 +87,8 @@
     changed: Condvar,
     /// True while the worker is cut off: nothing reaches it, and it runs on.
     cut: Mutex<bool>,
+    /// Number of incarnations so far.
+    lives: Mutex<u64>,
     server: Mutex<Option<Server>>,
     address: Mutex<SocketAddr>,
 }
@@ -120,6 +122,7 @@
             life: Mutex::new(None),
             changed: Condvar::new(),
             cut: Mutex::new(false),
+            lives: Mutex::new(0),
             server: Mutex::new(None),
             address: Mutex::new(format!("{ip}:0").parse().unwrap()),
         });
@@ -146,11 +149,14 @@
         let address = *self.address.lock().unwrap();
         let (cpu, labels) = (kind.cpu, kind.labels.join(","));
         *self.life.lock().unwrap() = Some(Life::new(kind));
-        let handling = self.clone();
+        let (handling, mut seen) = (self.clone(), self.lives.lock().unwrap());
+        *seen += 1;
+        let number = *seen;
+        drop(seen);
         if address.port() != 0 {
             self.beat();
         }
-        let (server, address) = Server::start(address, Arc::new(move |it| handling.receive(it)))
+        let (server, address) = Server::start(address, Arc::new(move |it| handling.receive(it, number)))
             .expect("a worker's port is free");
         *self.address.lock().unwrap() = address;
         *self.server.lock().unwrap() = Some(server);
@@ -227,9 +233,27 @@
         self.changed.notify_all();
     }
 
-    /// Takes an order, unless the worker is cut off: then neither the order nor an
-    /// answer gets through.
-    fn receive(self: &Arc<Worker>, request: Request) -> Reply {
+    /// Ends the incarnation while it is cut off, and begins another one, which is reached
+    /// again. Nobody hears of the end: the channels to the former one are silent.
+    pub fn crash_behind_cut(self: &Arc<Worker>, kind: Kind) {
+        let life = self.life.lock().unwrap().take();
+        if let Some(server) = self.server.lock().unwrap().take() {
+            server.abandon();
+        }
+        self.record.line(&format!("worker {} crashed behind the cut", self.id));
+        for key in life.map(|it| it.running).unwrap_or_default().keys() {
+            self.record.end(&self.id, key, "crashed");
+        }
+        *self.cut.lock().unwrap() = false;
+        self.come_up(kind);
+    }
+
+    /// Takes an order that has reached the incarnation `number` on one of its channels,
+    /// unless the worker is cut off: then neither the order nor an answer gets through.
+    fn receive(self: &Arc<Worker>, request: Request, number: u64) -> Reply {
+        if *self.lives.lock().unwrap() != number {
+            return (0, String::new());
+        }
         let reply = match *self.cut.lock().unwrap() {
             true => None,
             false => Some(request),
@@ -238,6 +262,11 @@
         while *self.cut.lock().unwrap() {
             thread::sleep(Duration::from_millis(5));
         }
+        if *self.lives.lock().unwrap() != number {
+            // Nothing comes from the former incarnation any more.
+            thread::sleep(Duration::from_secs(5));
+            return (0, String::new());
+        }
         reply.unwrap_or((0, String::new()))
     }
 
@@ -285,11 +314,12 @@
             "/-/run-stop" => {
                 let over = life.over.entry(key.0.clone()).or_default();
                 *over = key.1.max(*over);
-                let answer = clock(life);
+                let (answer, born) = (clock(life), life.born);
                 let worker = self.clone();
                 thread::spawn(move || {
                     thread::sleep(STOP);
-                    if let Some(life) = worker.life.lock().unwrap().as_mut() {
+                    let mut life = worker.life.lock().unwrap();
+                    if let Some(life) = life.as_mut().filter(|it| it.born == born) {
                         worker.finish(life, &key, "stopped");
                     }
                 });
