--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 pub struct Request {
-    pub method: String,
     pub path: String,
     pub query: Vec<(String, String)>,
     pub headers: Vec<(String, String)>,
@@ -17,7 +16,10 @@
 
 impl Request {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|it| it.0.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|it| it.0.eq_ignore_ascii_case(name));
         found.map(|it| it.1.as_str())
     }
 
@@ -105,7 +107,8 @@
             let head = String::from_utf8_lossy(&buffer[..end]).into_owned();
             let length = head.lines().find_map(|line| {
                 let (name, value) = line.split_once(':')?;
-                name.eq_ignore_ascii_case("content-length").then(|| value.trim().parse().ok())?
+                name.eq_ignore_ascii_case("content-length")
+                    .then(|| value.trim().parse().ok())?
             });
             let total = end + 4 + length.unwrap_or(0_usize);
             if buffer.len() >= total {
@@ -125,13 +128,20 @@
     let (head, body) = read_message(stream, buffer).ok()?;
     let mut lines = head.lines();
     let mut words = lines.next()?.split(' ');
-    let (method, target) = (words.next()?.to_owned(), words.next()?);
+    let target = words.nth(1)?;
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
     let query = query.split('&').filter_map(|it| it.split_once('='));
     let query = query.map(|it| (it.0.to_owned(), decode(it.1))).collect();
     let headers = lines.filter_map(|it| it.split_once(':'));
-    let headers = headers.map(|it| (it.0.to_owned(), it.1.trim().to_owned())).collect();
-    Some(Request { method, path: path.to_owned(), query, headers, body })
+    let headers = headers
+        .map(|it| (it.0.to_owned(), it.1.trim().to_owned()))
+        .collect();
+    Some(Request {
+        path: path.to_owned(),
+        query,
+        headers,
+        body,
+    })
 }
 
 fn decode(text: &str) -> String {
@@ -162,7 +172,10 @@
     let mut stream = TcpStream::connect_timeout(&to, Duration::from_secs(1))?;
     let _ = stream.set_nodelay(true);
     stream.set_read_timeout(Some(timeout))?;
-    let mut head = format!("{method} {path} HTTP/1.1\r\nContent-Length: {}\r\n", body.len());
+    let mut head = format!(
+        "{method} {path} HTTP/1.1\r\nContent-Length: {}\r\n",
+        body.len()
+    );
     for (name, value) in headers {
         head += &format!("{name}: {value}\r\n");
     }
--- a/review/standin/json.rs
+++ b/review/standin/json.rs
@@ -15,7 +15,10 @@
 
 impl Json {
     pub fn parse(text: &str) -> Option<Json> {
-        let mut parser = Parser { bytes: text.as_bytes(), at: 0 };
+        let mut parser = Parser {
+            bytes: text.as_bytes(),
+            at: 0,
+        };
         let value = parser.value()?;
         parser.space();
         (parser.at == parser.bytes.len()).then_some(value)
@@ -137,7 +140,11 @@
             }
             _ => {
                 let from = self.at;
-                while self.bytes.get(self.at).is_some_and(|it| b"+-.eE0123456789".contains(it)) {
+                while self
+                    .bytes
+                    .get(self.at)
+                    .is_some_and(|it| b"+-.eE0123456789".contains(it))
+                {
                     self.at += 1;
                 }
                 let text = std::str::from_utf8(&self.bytes[from..self.at]).ok()?;
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -35,7 +35,10 @@
         }
     };
     node::watch(LIMIT);
-    record.line(&format!("case {name}, disruption {}", if trouble { "on" } else { "off" }));
+    record.line(&format!(
+        "case {name}, disruption {}",
+        if trouble { "on" } else { "off" }
+    ));
     let played = scenario::play(name, root, trouble, &record);
     let broken = record.broken();
     let status = match played {
--- a/review/standin/node.rs
+++ b/review/standin/node.rs
@@ -12,7 +12,11 @@
 use crate::http;
 
 /// Command of the deploy file.
-const COMMAND: [&str; 3] = ["target/release/bluebellpath-entry", "--metrics-port", "9464"];
+const COMMAND: [&str; 3] = [
+    "target/release/bluebellpath-entry",
+    "--metrics-port",
+    "9464",
+];
 
 const METRICS_PORT: u16 = 9_464;
 
@@ -25,7 +29,9 @@
         thread::sleep(limit);
         println!("the case takes longer than {} s", limit.as_secs());
         for pid in PROCESSES.lock().unwrap().iter() {
-            let _ = Command::new("kill").args(["-KILL", &pid.to_string()]).status();
+            let _ = Command::new("kill")
+                .args(["-KILL", &pid.to_string()])
+                .status();
         }
         std::process::exit(2);
     });
@@ -147,7 +153,11 @@
         );
         let settings = folder.join(format!("{name}.toml"));
         fs::write(&settings, text).map_err(|it| it.to_string())?;
-        let address = |port: u16| format!("{ip}:{port}").parse().map_err(|_| "address".to_owned());
+        let address = |port: u16| {
+            format!("{ip}:{port}")
+                .parse()
+                .map_err(|_| "address".to_owned())
+        };
         Ok(Node {
             front: address(port)?,
             health: address(port + 1)?,
@@ -164,13 +174,19 @@
         let log = File::options().create(true).append(true).open(&self.logs);
         let log = log.map_err(|it| it.to_string())?;
         let mut command = Command::new(self.root.join(COMMAND[0]));
-        command.args(&COMMAND[1..]).current_dir(&self.root).env_clear();
-        command.env("BLUEBELLPATH_BOOT", &self.settings).stdin(Stdio::null());
+        command
+            .args(&COMMAND[1..])
+            .current_dir(&self.root)
+            .env_clear();
+        command
+            .env("BLUEBELLPATH_BOOT", &self.settings)
+            .stdin(Stdio::null());
         command.stdout(log).stderr(Stdio::null());
         let child = command.spawn().map_err(|it| it.to_string())?;
         PROCESSES.lock().unwrap().push(child.id());
         self.child = Some(child);
-        self.record.line(&format!("process of {} starts", self.name));
+        self.record
+            .line(&format!("process of {} starts", self.name));
         Ok(())
     }
 
@@ -178,7 +194,8 @@
     pub fn kill(&mut self) {
         if let Some(child) = self.child.take() {
             end(child);
-            self.record.line(&format!("process of {} is killed", self.name));
+            self.record
+                .line(&format!("process of {} is killed", self.name));
         }
     }
 
@@ -186,13 +203,23 @@
     pub fn signal(&self, name: &str) {
         if let Some(child) = &self.child {
             let pid = child.id().to_string();
-            let _ = Command::new("kill").args([&format!("-{name}"), &pid]).status();
-            self.record.line(&format!("{name} to the process of {}", self.name));
+            let _ = Command::new("kill")
+                .args([&format!("-{name}"), &pid])
+                .status();
+            self.record
+                .line(&format!("{name} to the process of {}", self.name));
         }
     }
 
     pub fn is_ready(&self) -> bool {
-        let answer = http::send(self.health, "GET", "/-/readyz", &[], "", Duration::from_millis(500));
+        let answer = http::send(
+            self.health,
+            "GET",
+            "/-/readyz",
+            &[],
+            "",
+            Duration::from_millis(500),
+        );
         answer.is_ok_and(|it| it.0 == 200)
     }
 
--- a/review/standin/record.rs
+++ b/review/standin/record.rs
@@ -27,7 +27,10 @@
             running: BTreeMap::new(),
             broken: Vec::new(),
         };
-        Ok(Arc::new(Record { since: Instant::now(), state: Mutex::new(state) }))
+        Ok(Arc::new(Record {
+            since: Instant::now(),
+            state: Mutex::new(state),
+        }))
     }
 
     pub fn line(&self, text: &str) {
@@ -44,7 +47,13 @@
     }
 
     pub fn running(&self) -> usize {
-        self.state.lock().unwrap().running.values().map(Vec::len).sum()
+        self.state
+            .lock()
+            .unwrap()
+            .running
+            .values()
+            .map(Vec::len)
+            .sum()
     }
 
     /// Records a start. `room` is what was in use before it, what it takes and what
@@ -100,7 +109,10 @@
                 state.running.remove(&key.0);
             }
         }
-        state.write(self.since, &format!("end {} run {} on {worker}: {how}", key.0, key.1));
+        state.write(
+            self.since,
+            &format!("end {} run {} on {worker}: {how}", key.0, key.1),
+        );
     }
 }
 
--- a/review/standin/scenario.rs
+++ b/review/standin/scenario.rs
@@ -30,7 +30,10 @@
 }
 
 fn kind(cpu: u64, labels: &[&str]) -> Kind {
-    Kind { cpu, labels: labels.iter().map(|it| (*it).to_owned()).collect() }
+    Kind {
+        cpu,
+        labels: labels.iter().map(|it| (*it).to_owned()).collect(),
+    }
 }
 
 impl World {
@@ -41,7 +44,9 @@
         let network = Network::find(count)?;
         let store = Store::new();
         let handling = store.clone();
-        let address = format!("{}:0", network.ip(200)).parse().map_err(|_| "address")?;
+        let address = format!("{}:0", network.ip(200))
+            .parse()
+            .map_err(|_| "address")?;
         let handler = Arc::new(move |it| handling.handle(it));
         let (server, address) = Server::start(address, handler).map_err(|it| it.to_string())?;
         let config = format!(
@@ -120,7 +125,11 @@
              \"cpu\":{cpu},\"mem_mb\":64,\"estimate_ms\":{ms}{constraint}}}]}}"
         );
         let id = format!("{:016x}", number.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
-        Job { id, body, deadline: Duration::from_millis(8_000) }
+        Job {
+            id,
+            body,
+            deadline: Duration::from_millis(8_000),
+        }
     }
 
     /// Sends the job to each of `fronts` in turn until it is answered for good.
@@ -129,7 +138,11 @@
             if attempt > 0 {
                 thread::sleep(RESEND);
             }
-            record.line(&format!("job {} is sent to {front}, try {}", self.id, attempt + 1));
+            record.line(&format!(
+                "job {} is sent to {front}, try {}",
+                self.id,
+                attempt + 1
+            ));
             let headers = [
                 ("Host", HOST.to_owned()),
                 ("Content-Type", "application/json".to_owned()),
@@ -166,8 +179,13 @@
 /// The client sends its job again. With `AGAIN_MS` the process is killed once more, that
 /// many milliseconds after it has started again.
 fn restart(root: &str, trouble: bool, record: &Arc<Record>) -> Result<(), String> {
-    let again = std::env::var("AGAIN_MS").ok().and_then(|it| it.parse().ok());
-    let delay = std::env::var("RESTART_MS").ok().and_then(|it| it.parse().ok()).unwrap_or(840);
+    let again = std::env::var("AGAIN_MS")
+        .ok()
+        .and_then(|it| it.parse().ok());
+    let delay = std::env::var("RESTART_MS")
+        .ok()
+        .and_then(|it| it.parse().ok())
+        .unwrap_or(840);
     let mut world = World::start(root, &["north", "north", "south"], record)?;
     world.add_workers("north", 8, &kind(8_000, &["a", "r1"]));
     world.add_workers("south", 4, &kind(8_000, &["a", "r2"]));
@@ -212,8 +230,16 @@
 /// workers over. Shortly before the process goes on, one of the workers is cut off from
 /// all machines.
 fn paused(root: &str, trouble: bool, record: &Arc<Record>) -> Result<(), String> {
-    let number = |name, default| std::env::var(name).ok().and_then(|it| it.parse().ok()).unwrap_or(default);
-    let (pause, lead) = (number("PAUSE_MS", 1_000_u64), number("CUT_LEAD_MS", 150_u64));
+    let number = |name, default| {
+        std::env::var(name)
+            .ok()
+            .and_then(|it| it.parse().ok())
+            .unwrap_or(default)
+    };
+    let (pause, lead) = (
+        number("PAUSE_MS", 1_000_u64),
+        number("CUT_LEAD_MS", 150_u64),
+    );
     let mut world = World::start(root, &["north", "north", "south"], record)?;
     world.add_workers("north", 6, &kind(8_000, &["a", "r1"]));
     world.add_workers("south", 3, &kind(8_000, &["a", "r2"]));
@@ -255,7 +281,10 @@
 /// A worker is cut off for a moment, crashes behind the cut and starts again under its id.
 /// A job comes right after it is reached again.
 fn unnoticed(root: &str, trouble: bool, record: &Arc<Record>) -> Result<(), String> {
-    let cut = std::env::var("CUT_MS").ok().and_then(|it| it.parse().ok()).unwrap_or(150);
+    let cut = std::env::var("CUT_MS")
+        .ok()
+        .and_then(|it| it.parse().ok())
+        .unwrap_or(150);
     let mut served = 0;
     for round in 0..8_u64 {
         let mut world = World::start(root, &["north", "north", "south"], record)?;
@@ -294,7 +323,10 @@
     world.start_nodes()?;
     let label = if relabel { "a" } else { "" };
     let fronts: Vec<_> = world.nodes.iter().take(2).map(|it| it.front).collect();
-    let (stopped, served) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
+    let (stopped, served) = (
+        Arc::new(AtomicBool::new(false)),
+        Arc::new(AtomicU64::new(0)),
+    );
     let load = {
         let (stopped, served, record) = (stopped.clone(), served.clone(), record.clone());
         thread::spawn(move || {
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -48,23 +48,12 @@
         let mut rows = self.rows.lock().unwrap();
         rows.version += 1;
         let version = rows.version;
-        rows.rows.insert(key.clone(), (base64(value.as_bytes()), version));
+        rows.rows
+            .insert(key.clone(), (base64(value.as_bytes()), version));
         rows.changes.push((version, key));
         self.changed.notify_all();
     }
 
-    /// Removes a row of a worker that is gone.
-    pub fn remove(&self, table: &str, key: &str) {
-        let key = (table.to_owned(), String::new(), key.to_owned());
-        let mut rows = self.rows.lock().unwrap();
-        if rows.rows.remove(&key).is_some() {
-            rows.version += 1;
-            let version = rows.version;
-            rows.changes.push((version, key));
-            self.changed.notify_all();
-        }
-    }
-
     pub fn handle(&self, request: Request) -> Reply {
         match request.path.as_str() {
             "/-/rows-tx" => {
@@ -89,9 +78,15 @@
     }
 
     fn transact(&self, body: &str) -> Reply {
-        let Some(body) = Json::parse(body) else { return (400, "{}".to_owned()) };
+        let Some(body) = Json::parse(body) else {
+            return (400, "{}".to_owned());
+        };
         let key = |it: &Json| {
-            (it.text("table").to_owned(), it.text("part").to_owned(), it.text("key").to_owned())
+            (
+                it.text("table").to_owned(),
+                it.text("part").to_owned(),
+                it.text("key").to_owned(),
+            )
         };
         let mut rows = self.rows.lock().unwrap();
         let expected = body.list("expect");
@@ -103,7 +98,10 @@
                 rows.rows.get(&key).map(|row| render(&key, Some(row), 0))
             });
             let current = current.collect::<Vec<_>>().join(",");
-            return (412, format!("{{\"rows\":[{current}],{}}}", self.tail(&rows)));
+            return (
+                412,
+                format!("{{\"rows\":[{current}],{}}}", self.tail(&rows)),
+            );
         }
         rows.version += 1;
         let version = rows.version;
@@ -112,7 +110,8 @@
             if key.0 == "op" || key.0 == "servers" {
                 return (403, "{}".to_owned());
             }
-            rows.rows.insert(key.clone(), (write.text("value").to_owned(), version));
+            rows.rows
+                .insert(key.clone(), (write.text("value").to_owned(), version));
             rows.changes.push((version, key));
         }
         for removed in body.list("remove") {
@@ -132,10 +131,18 @@
         let matching = rows.rows.iter().filter(|((a, b, key), _)| {
             a == table && b == part && key.as_str() >= from && (to.is_empty() || key.as_str() < to)
         });
-        let matching: Vec<_> = matching.map(|(key, row)| render(key, Some(row), 0)).collect();
+        let matching: Vec<_> = matching
+            .map(|(key, row)| render(key, Some(row), 0))
+            .collect();
         let more = matching.len() > limit;
         let page = matching[..matching.len().min(limit)].join(",");
-        (200, format!("{{\"rows\":[{page}],\"has_more\":{more},{}}}", self.tail(&rows)))
+        (
+            200,
+            format!(
+                "{{\"rows\":[{page}],\"has_more\":{more},{}}}",
+                self.tail(&rows)
+            ),
+        )
     }
 
     fn feed(&self, request: &Request) -> Reply {
@@ -155,7 +162,9 @@
             if !found.is_empty() || left.is_zero() {
                 let mut found: Vec<_> = found.into_iter().collect();
                 found.sort_by_key(|it| it.1);
-                let page = found.iter().map(|(key, at)| render(key, rows.rows.get(*key), *at));
+                let page = found
+                    .iter()
+                    .map(|(key, at)| render(key, rows.rows.get(*key), *at));
                 let page = page.collect::<Vec<_>>().join(",");
                 return (200, format!("{{\"rows\":[{page}],{}}}", self.tail(&rows)));
             }
@@ -172,7 +181,9 @@
         quote(&key.2)
     );
     match row {
-        Some((value, version)) => format!("{{{names},\"value\":{},\"ver\":{version}}}", quote(value)),
+        Some((value, version)) => {
+            format!("{{{names},\"value\":{},\"ver\":{version}}}", quote(value))
+        }
         None => format!("{{{names},\"ver\":{removed_at},\"deleted\":true}}"),
     }
 }
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -94,11 +94,17 @@
 }
 
 pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_millis() as u64
 }
 
 fn field(spec: &str, name: &str) -> Option<String> {
-    let found = spec.split(' ').filter_map(|it| it.split_once('=')).find(|it| it.0 == name);
+    let found = spec
+        .split(' ')
+        .filter_map(|it| it.split_once('='))
+        .find(|it| it.0 == name);
     found.map(|it| it.1.to_owned())
 }
 
@@ -156,12 +162,16 @@
         if address.port() != 0 {
             self.beat();
         }
-        let (server, address) = Server::start(address, Arc::new(move |it| handling.receive(it, number)))
-            .expect("a worker's port is free");
+        let (server, address) =
+            Server::start(address, Arc::new(move |it| handling.receive(it, number)))
+                .expect("a worker's port is free");
         *self.address.lock().unwrap() = address;
         *self.server.lock().unwrap() = Some(server);
         self.beat();
-        self.record.line(&format!("worker {} is up with cpu {cpu}, labels {labels}", self.id));
+        self.record.line(&format!(
+            "worker {} is up with cpu {cpu}, labels {labels}",
+            self.id
+        ));
     }
 
     /// Ends the incarnation as by a crash.
@@ -172,7 +182,11 @@
         }
         self.changed.notify_all();
         let running = life.map(|it| it.running).unwrap_or_default();
-        self.record.line(&format!("worker {} crashed with {} runs", self.id, running.len()));
+        self.record.line(&format!(
+            "worker {} crashed with {} runs",
+            self.id,
+            running.len()
+        ));
         for key in running.keys() {
             self.record.end(&self.id, key, "crashed");
         }
@@ -181,7 +195,11 @@
     /// Cuts the worker off, or ends that.
     pub fn set_cut(&self, cut: bool) {
         *self.cut.lock().unwrap() = cut;
-        let text = if cut { "is cut off" } else { "is reached again" };
+        let text = if cut {
+            "is cut off"
+        } else {
+            "is reached again"
+        };
         self.record.line(&format!("worker {} {text}", self.id));
     }
 
@@ -214,7 +232,10 @@
         let Some(life) = guard.as_mut() else { return };
         let now = Instant::now();
         let lapsed = life.clock() > life.until_ms;
-        let over = life.running.iter().filter(|it| lapsed || it.1.ends_at <= now);
+        let over = life
+            .running
+            .iter()
+            .filter(|it| lapsed || it.1.ends_at <= now);
         let over: Vec<_> = over.map(|it| (it.0.clone(), it.1.ends_at <= now)).collect();
         for (key, done) in over {
             self.finish(life, &key, if done { "done" } else { "lapsed" });
@@ -240,7 +261,8 @@
         if let Some(server) = self.server.lock().unwrap().take() {
             server.abandon();
         }
-        self.record.line(&format!("worker {} crashed behind the cut", self.id));
+        self.record
+            .line(&format!("worker {} crashed behind the cut", self.id));
         for key in life.map(|it| it.running).unwrap_or_default().keys() {
             self.record.end(&self.id, key, "crashed");
         }
@@ -273,21 +295,36 @@
     fn handle(self: &Arc<Worker>, request: Request) -> Reply {
         let body = Json::parse(&request.body).unwrap_or(Json::Null);
         let mut guard = self.life.lock().unwrap();
-        let Some(life) = guard.as_mut() else { return (503, "{}".to_owned()) };
-        if request.header("expect-instance").is_some_and(|it| it != self.id) {
+        let Some(life) = guard.as_mut() else {
+            return (503, "{}".to_owned());
+        };
+        if request
+            .header("expect-instance")
+            .is_some_and(|it| it != self.id)
+        {
             return (421, "{}".to_owned());
         }
-        let clock = |life: &Life| format!("{{\"clock_ms\":{},\"born\":{}}}", life.clock(), life.born);
+        let clock =
+            |life: &Life| format!("{{\"clock_ms\":{},\"born\":{}}}", life.clock(), life.born);
         let refuse = |life: &Life, reason: &str| {
             let clock = life.clock();
-            (409, format!("{{\"clock_ms\":{clock},\"born\":{},\"reason\":\"{reason}\"}}", life.born))
+            (
+                409,
+                format!(
+                    "{{\"clock_ms\":{clock},\"born\":{},\"reason\":\"{reason}\"}}",
+                    life.born
+                ),
+            )
         };
         let fence = body.number("fence").unwrap_or(0);
         if fence < life.fence {
             return refuse(life, "fence");
         }
         life.fence = fence;
-        let key = (body.text("task").to_owned(), body.number("run").unwrap_or(0));
+        let key = (
+            body.text("task").to_owned(),
+            body.number("run").unwrap_or(0),
+        );
         match request.path.as_str() {
             "/-/run-start" => {
                 if life.running.contains_key(&key) {
@@ -307,8 +344,20 @@
                 let cpu: u64 = number("cpu").unwrap_or(0);
                 let used: u64 = life.running.values().map(|it| it.cpu).sum();
                 let duration = Duration::from_millis(number("ms").unwrap_or(100));
-                life.running.insert(key.clone(), Running { ends_at: Instant::now() + duration, cpu });
-                self.record.start(&self.id, &key, spec, (used, cpu, life.kind.cpu), &life.kind.labels);
+                life.running.insert(
+                    key.clone(),
+                    Running {
+                        ends_at: Instant::now() + duration,
+                        cpu,
+                    },
+                );
+                self.record.start(
+                    &self.id,
+                    &key,
+                    spec,
+                    (used, cpu, life.kind.cpu),
+                    &life.kind.labels,
+                );
                 (200, clock(life))
             }
             "/-/run-stop" => {
@@ -354,9 +403,8 @@
     let running = life.running.keys();
     let running = running.map(|it| format!("[{},{},\"\",50,0]", quote(&it.0), it.1));
     let ended = life.ended.iter().take(500);
-    let ended = ended.map(|(number, key, how)| {
-        format!("[{number},{},{},\"{how}\",\"\"]", quote(&key.0), key.1)
-    });
+    let ended = ended
+        .map(|(number, key, how)| format!("[{number},{},{},\"{how}\",\"\"]", quote(&key.0), key.1));
     format!(
         "{{\"clock_ms\":{},\"born\":{},\"running_tasks\":[{}],\"ended\":[{}]}}",
         life.clock(),
