--- a/review/standin/scenario.rs
+++ b/review/standin/scenario.rs
@@ -319,7 +319,7 @@
 fn reborn(root: &str, trouble: bool, record: &Arc<Record>, relabel: bool) -> Result<(), String> {
     let mut world = World::start(root, &["north", "north", "south"], record)?;
     world.add_workers("north", 3, &kind(8_000, &["a", "r1"]));
-    world.add_workers("south", 3, &kind(8_000, &["a", "r2"]));
+    world.add_workers("south", 5, &kind(8_000, &["a", "r2"]));
     world.start_nodes()?;
     let label = if relabel { "a" } else { "" };
     let fronts: Vec<_> = world.nodes.iter().take(2).map(|it| it.front).collect();
