--- a/review/standin/scenario.rs
+++ b/review/standin/scenario.rs
@@ -16,7 +16,7 @@
 const RESEND: Duration = Duration::from_millis(1_300);
 
 const HOST: &str = "jobs.example";
-const PREFIX: &str = "/work/";
+const PREFIX: &str = "/jobs/";
 const SERVICE: &str = "pool";
 
 struct World {
