--- /dev/null
+++ b/review/standins-2/store.rs
@@ -0,0 +1,181 @@
+//! The platform's store: rows in memory, with one counter of versions.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    sync::{Arc, Condvar, Mutex},
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    http::{Request, Response, Server, response},
+    json::{self, Value, base64, quote},
+};
+
+/// Time of an answer.
+const ANSWER: Duration = Duration::from_millis(4);
+
+/// Most rows of one answer.
+const PAGE: usize = 500;
+
+type Key = (String, String, String);
+
+#[derive(Default)]
+struct Rows {
+    version: u64,
+    /// Value in base64, if the row was not removed, and version.
+    rows: BTreeMap<Key, (Option<String>, u64)>,
+}
+
+pub struct Store {
+    rows: Mutex<Rows>,
+    changed: Condvar,
+    since: Instant,
+}
+
+impl Store {
+    /// Starts a store on a free port of `ip`.
+    pub fn start(ip: &str) -> io::Result<(Arc<Store>, Server)> {
+        let store = Arc::new(Store {
+            rows: Mutex::default(),
+            changed: Condvar::new(),
+            since: Instant::now(),
+        });
+        let handler = store.clone();
+        let server = Server::start(
+            &format!("{ip}:0"),
+            Arc::new(move |it| Some(handler.handle(&it))),
+        )?;
+        Ok((store, server))
+    }
+
+    /// Writes a row of the operator, of a worker or of another writer.
+    pub fn put(&self, table: &str, key: &str, value: &[u8]) {
+        let key = (table.to_owned(), String::new(), key.to_owned());
+        let mut rows = self.rows.lock().unwrap();
+        rows.write(key, Some(base64(value)));
+        self.changed.notify_all();
+    }
+
+    fn handle(&self, request: &Request) -> Response {
+        thread::sleep(ANSWER);
+        match request.path.as_str() {
+            "/-/rows-tx" => self.transact(&request.body),
+            "/-/rows-get" => self.get(request),
+            "/-/rows-feed" => self.feed(request),
+            _ => response(404, String::from("{}")),
+        }
+    }
+
+    fn answer(&self, status: u16, rows: &[String], has_more: bool, version: u64) -> Response {
+        let body = format!(
+            "{{\"rows\":[{}],\"has_more\":{has_more},\"ver\":{version},\"now_ms\":{}}}",
+            rows.join(","),
+            self.since.elapsed().as_millis()
+        );
+        response(status, body)
+    }
+
+    fn transact(&self, body: &[u8]) -> Response {
+        let Some(body) = json::parse(body) else {
+            return response(400, String::from("{}"));
+        };
+        let key = |it: &Value| -> Key {
+            let text = |name| it.get(name).text().to_owned();
+            (text("table"), text("part"), text("key"))
+        };
+        let forbidden = |it: &Value| ["op", "servers"].contains(&it.get("table").text());
+        if body.get("writes").list().iter().any(forbidden) {
+            return response(403, String::from("{}"));
+        }
+        let mut rows = self.rows.lock().unwrap();
+        let expected = body.get("expect").list();
+        let version_of = |rows: &Rows, it: &Value| match rows.rows.get(&key(it)) {
+            Some((Some(_), version)) => *version,
+            _ => 0,
+        };
+        let differs = |it: &Value| version_of(&rows, it) != it.get("ver").number().unwrap_or(0);
+        if expected.iter().any(differs) {
+            let current = expected.iter().filter_map(|it| {
+                let (key, row) = rows.rows.get_key_value(&key(it))?;
+                row.0.is_some().then(|| render(key, row))
+            });
+            let current: Vec<_> = current.collect();
+            return self.answer(412, &current, false, rows.version);
+        }
+        for write in body.get("writes").list() {
+            let value = write.get("value").text().to_owned();
+            rows.write(key(write), Some(value));
+        }
+        for removed in body.get("remove").list() {
+            rows.write(key(removed), None);
+        }
+        self.changed.notify_all();
+        self.answer(200, &[], false, rows.version)
+    }
+
+    fn get(&self, request: &Request) -> Response {
+        let parameter = |name| request.parameter(name).unwrap_or_default();
+        let (table, part) = (parameter("table"), parameter("part"));
+        let (from, to) = (parameter("from"), request.parameter("to"));
+        let limit = parameter("limit").parse().unwrap_or(PAGE).min(PAGE);
+        let rows = self.rows.lock().unwrap();
+        let matching = rows.rows.iter().filter(|(key, row)| {
+            let in_range = key.2 >= from && to.as_ref().is_none_or(|it| key.2 < *it);
+            key.0 == table && key.1 == part && in_range && row.0.is_some()
+        });
+        let mut page: Vec<_> = matching.map(|(key, row)| render(key, row)).collect();
+        let has_more = page.len() > limit;
+        page.truncate(limit);
+        self.answer(200, &page, has_more, rows.version)
+    }
+
+    fn feed(&self, request: &Request) -> Response {
+        let table = request.parameter("table").unwrap_or_default();
+        let number = |name| {
+            request
+                .parameter(name)
+                .and_then(|it| it.parse::<u64>().ok())
+        };
+        let after = number("after").unwrap_or(0);
+        let end = Instant::now() + Duration::from_millis(number("wait_ms").unwrap_or(0));
+        let mut rows = self.rows.lock().unwrap();
+        loop {
+            let changed = rows
+                .rows
+                .iter()
+                .filter(|(key, row)| key.0 == table && row.1 > after);
+            let mut changed: Vec<_> = changed.collect();
+            changed.sort_by_key(|it| it.1.1);
+            let left = end.saturating_duration_since(Instant::now());
+            if !changed.is_empty() || left.is_zero() {
+                let version = match changed.len() > PAGE {
+                    true => changed[PAGE - 1].1.1,
+                    false => rows.version,
+                };
+                let has_more = changed.len() > PAGE;
+                let page = changed.into_iter().take(PAGE);
+                let page: Vec<_> = page.map(|(key, row)| render(key, row)).collect();
+                return self.answer(200, &page, has_more, version);
+            }
+            rows = self.changed.wait_timeout(rows, left).unwrap().0;
+        }
+    }
+}
+
+impl Rows {
+    fn write(&mut self, key: Key, value: Option<String>) {
+        self.version += 1;
+        self.rows.insert(key, (value, self.version));
+    }
+}
+
+fn render((table, part, key): &Key, (value, version): &(Option<String>, u64)) -> String {
+    let rest = match value {
+        Some(value) => format!("\"value\":{}", quote(value)),
+        None => "\"deleted\":true".to_owned(),
+    };
+    let (table, part, key) = (quote(table), quote(part), quote(key));
+    format!("{{\"table\":{table},\"part\":{part},\"key\":{key},\"ver\":{version},{rest}}}")
+}
