Show that foreign entries prevent the recovery of all instances

Cause: the key with which the next page of a table is asked for is not encoded; a space in it turns the request into one for the root.

--- a/review/standins-2/scenario.rs
+++ b/review/standins-2/scenario.rs
@@ -34,6 +34,7 @@
     workers: Vec<Arc<Worker>>,
     seen: Arc<Mutex<Vec<Seen>>>,
     record: Arc<Record>,
+    store: Arc<Store>,
     folder: PathBuf,
     _server: Server,
 }
@@ -68,6 +69,7 @@
             workers: workers?,
             seen,
             record: record.clone(),
+            store,
             folder,
             _server: server,
         };
@@ -240,10 +242,74 @@
     Ok(state.get("state").text() == "completed")
 }
 
+/// `recovery_s` of the settings.
+const RECOVERY: Duration = Duration::from_secs(12);
+
+/// Entries of another writer, and the size of each.
+const FOREIGN_ENTRIES: usize = 20;
+const FOREIGN_BYTES: usize = 48_000;
+
+/// Submits short jobs to all instances in turn, and returns how many are served.
+fn served(deployment: &Deployment, first: u64, count: u64) -> Result<u64, Fault> {
+    let mut served = 0;
+    for number in first..first + count {
+        let entry = number as usize % deployment.entries.len();
+        let job = format!("{:016x}", 0x4b36_f800_0000_0000 + number);
+        let posted = submit(deployment, entry, &job, chain(1, 100), 1_500);
+        let answer = posted.join().map_err(|_| "client failed")?;
+        served += u64::from(answer.status == 200 && answer.body.contains("completed"));
+    }
+    Ok(served)
+}
+
+/// Another writer has entries among those of the workers, and all processes are killed.
+fn foreign(trouble: bool, record: &Arc<Record>) -> Result<bool, Fault> {
+    let mut deployment = Deployment::start(&["west", "east"], 4, record)?;
+    let count = 20;
+    let before = served(&deployment, 0, count)?;
+    record.note(&format!("{before} of {count} served"));
+    if trouble {
+        let junk: Vec<u8> = (0..FOREIGN_BYTES).map(|it| 128 + (it % 97) as u8).collect();
+        for number in 0..FOREIGN_ENTRIES {
+            let key = format!("agent {number:02}");
+            deployment.store.put("servers", &key, &junk);
+        }
+        record.note(&format!(
+            "another writer has {FOREIGN_ENTRIES} entries of {FOREIGN_BYTES} bytes under servers/"
+        ));
+        thread::sleep(Duration::from_secs(3));
+        let with = served(&deployment, 100, count)?;
+        record.note(&format!("{with} of {count} served"));
+    }
+    deployment.entries.iter_mut().for_each(Entry::kill);
+    record.note("all processes are killed");
+    thread::sleep(Duration::from_secs(1));
+    for entry in &mut deployment.entries {
+        entry.start()?;
+    }
+    record.note("all processes run again");
+    thread::sleep(RECOVERY + Duration::from_secs(1));
+    let after = served(&deployment, 200, count)?;
+    record.note(&format!("{after} of {count} served"));
+    if before * 4 < count {
+        return Err("under a quarter was served before".into());
+    }
+    if after * 4 < count {
+        record.note("RECOVER: under a quarter is served after recovery_s");
+        let entry = &deployment.entries[0];
+        let log = entry.log();
+        let last = log.lines().rev().find(|it| it.contains("store lost"));
+        record.note(&format!("log of {}: {}", entry.name, last.unwrap_or("")));
+        return Ok(false);
+    }
+    Ok(true)
+}
+
 pub fn play(name: &str, trouble: bool, record: &Arc<Record>) -> Result<bool, Fault> {
     match name {
         "cancel" => cancel(trouble, record),
         "crash" => crash(trouble, record),
+        "foreign" => foreign(trouble, record),
         _ => Err(format!("no scenario {name}").into()),
     }
 }
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -19,6 +19,9 @@
 /// Most rows of one answer.
 const PAGE: usize = 500;
 
+/// Most bytes of the rows of one answer.
+const PAGE_BYTES: usize = 1_000_000;
+
 type Key = (String, String, String);
 
 #[derive(Default)]
@@ -125,9 +128,17 @@
             let in_range = key.2 >= from && to.as_ref().is_none_or(|it| key.2 < *it);
             key.0 == table && key.1 == part && in_range && row.0.is_some()
         });
-        let mut page: Vec<_> = matching.map(|(key, row)| render(key, row)).collect();
-        let has_more = page.len() > limit;
-        page.truncate(limit);
+        let mut page = Vec::new();
+        let (mut bytes, mut has_more) = (0, false);
+        for (key, row) in matching {
+            let rendered = render(key, row);
+            bytes += rendered.len();
+            if page.len() == limit || !page.is_empty() && bytes > PAGE_BYTES {
+                has_more = true;
+                break;
+            }
+            page.push(rendered);
+        }
         self.answer(200, &page, has_more, rows.version)
     }
 
