Show that entries of another service take the place of all workers

Cause: an instance takes over the targets of every service up to a limit of 128, in the order of their ids, and keeps those that never answer.

--- a/review/standins-2/entry.rs
+++ b/review/standins-2/entry.rs
@@ -49,6 +49,11 @@
         format!("{}.250", self.prefix)
     }
 
+    /// Address at which nobody listens.
+    pub fn other_ip(&self) -> String {
+        format!("{}.251", self.prefix)
+    }
+
     fn ip(&self, instance: usize) -> String {
         format!("{}.{}", self.prefix, instance + 1)
     }
--- a/review/standins-2/scenario.rs
+++ b/review/standins-2/scenario.rs
@@ -35,6 +35,8 @@
     seen: Arc<Mutex<Vec<Seen>>>,
     record: Arc<Record>,
     store: Arc<Store>,
+    /// Address at which nobody listens.
+    other_ip: String,
     folder: PathBuf,
     _server: Server,
 }
@@ -70,6 +72,7 @@
             seen,
             record: record.clone(),
             store,
+            other_ip: network.other_ip(),
             folder,
             _server: server,
         };
@@ -249,6 +252,9 @@
 const FOREIGN_ENTRIES: usize = 20;
 const FOREIGN_BYTES: usize = 48_000;
 
+/// Workers of another product.
+const OTHER_WORKERS: usize = 300;
+
 /// Submits short jobs to all instances in turn, and returns how many are served.
 fn served(deployment: &Deployment, first: u64, count: u64) -> Result<u64, Fault> {
     let mut served = 0;
@@ -262,21 +268,54 @@
     Ok(served)
 }
 
-/// Another writer has entries among those of the workers, and all processes are killed.
+/// Another writer has entries among those of the workers that can't be read, and all
+/// processes are killed.
 fn foreign(trouble: bool, record: &Arc<Record>) -> Result<bool, Fault> {
-    let mut deployment = Deployment::start(&["west", "east"], 4, record)?;
-    let count = 20;
-    let before = served(&deployment, 0, count)?;
-    record.note(&format!("{before} of {count} served"));
-    if trouble {
+    recover(trouble, record, |deployment| {
         let junk: Vec<u8> = (0..FOREIGN_BYTES).map(|it| 128 + (it % 97) as u8).collect();
         for number in 0..FOREIGN_ENTRIES {
             let key = format!("agent {number:02}");
             deployment.store.put("servers", &key, &junk);
         }
-        record.note(&format!(
-            "another writer has {FOREIGN_ENTRIES} entries of {FOREIGN_BYTES} bytes under servers/"
-        ));
+        format!("another writer has {FOREIGN_ENTRIES} entries of {FOREIGN_BYTES} bytes")
+    })
+}
+
+/// Workers of another product register in the same table, for a service that is not
+/// named in the desired state, and all processes are killed.
+fn service(trouble: bool, record: &Arc<Record>) -> Result<bool, Fault> {
+    recover(trouble, record, |deployment| {
+        for number in 0..OTHER_WORKERS {
+            let zone = ["west", "east"][number % 2];
+            // Nobody listens there.
+            let address = format!("{}:{}", deployment.other_ip, 1_000 + number);
+            let entry = format!(
+                "{{\"service\":\"appraisal\",\"addr\":\"{address}\",\"zone\":\"{zone}\",\
+                 \"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"cold_left_ms\":0,\
+                 \"capacity\":{{\"cpu\":64000,\"mem_mb\":262144,\"gpu\":0}},\
+                 \"labels\":[\"a\",\"r9-1\"],\"born\":1790000000000,\"clock_ms\":1,\"seq\":1}}"
+            );
+            let key = format!("appraisal-{number:04}");
+            deployment.store.put("servers", &key, entry.as_bytes());
+        }
+        format!("{OTHER_WORKERS} entries name a service that is not in the desired state")
+    })
+}
+
+/// Whether a quarter of the jobs is served after all processes were killed, with
+/// entries of another writer under `servers/`.
+fn recover(
+    trouble: bool,
+    record: &Arc<Record>,
+    write: impl Fn(&Deployment) -> String,
+) -> Result<bool, Fault> {
+    let mut deployment = Deployment::start(&["west", "east"], 4, record)?;
+    let count = 20;
+    let before = served(&deployment, 0, count)?;
+    record.note(&format!("{before} of {count} served"));
+    if trouble {
+        let what = write(&deployment);
+        record.note(&what);
         thread::sleep(Duration::from_secs(3));
         let with = served(&deployment, 100, count)?;
         record.note(&format!("{with} of {count} served"));
@@ -298,7 +337,8 @@
         record.note("RECOVER: under a quarter is served after recovery_s");
         let entry = &deployment.entries[0];
         let log = entry.log();
-        let last = log.lines().rev().find(|it| it.contains("store lost"));
+        let is_cause = |it: &&str| it.contains("store lost") || it.contains("no usable target");
+        let last = log.lines().rev().find(is_cause);
         record.note(&format!("log of {}: {}", entry.name, last.unwrap_or("")));
         return Ok(false);
     }
@@ -310,6 +350,7 @@
         "cancel" => cancel(trouble, record),
         "crash" => crash(trouble, record),
         "foreign" => foreign(trouble, record),
+        "service" => service(trouble, record),
         _ => Err(format!("no scenario {name}").into()),
     }
 }
