Show that work goes to a draining worker behind large foreign entries

Cause: changes of the list of workers in an answer over 4 MiB fail each time and are asked for again until the history ends; a page that is cut by bytes counts as the last one.

--- a/review/standins-2/scenario.rs
+++ b/review/standins-2/scenario.rs
@@ -345,12 +345,66 @@
     Ok(true)
 }
 
+/// `drain_ms` of the settings.
+const DRAIN_MS: u64 = 2_000;
+
+/// Entries of another writer that come at once.
+const HERD_ENTRIES: usize = 160;
+
+/// A worker is drained just after another writer has written many entries.
+fn drain(trouble: bool, record: &Arc<Record>) -> Result<bool, Fault> {
+    let deployment = Deployment::start(&["west", "east"], 4, record)?;
+    thread::sleep(Duration::from_secs(1));
+    if trouble {
+        let junk: Vec<u8> = (0..FOREIGN_BYTES).map(|it| 128 + (it % 97) as u8).collect();
+        for number in 0..HERD_ENTRIES {
+            let key = format!("agent-{number:03}");
+            deployment.store.put("servers", &key, &junk);
+        }
+        record.note(&format!(
+            "another writer has {HERD_ENTRIES} entries of {FOREIGN_BYTES} bytes"
+        ));
+    }
+    let worker = &deployment.workers[0];
+    worker.drain();
+    let acked_ms = record.now_ms();
+    let mut posted = Vec::new();
+    while record.now_ms() < acked_ms + 10_000 {
+        let number = posted.len();
+        let job = format!("{:016x}", 0x4b36_f800_0000_0000_u64 + number as u64);
+        let entry = number % deployment.entries.len();
+        let body = r#"{"spec":"200","steps":[{"count":3,"cpu":27000,"mem_mb":64,"estimate_ms":200}],"best_effort":true}"#;
+        posted.push(submit(&deployment, entry, &job, body.to_owned(), 1_500));
+        thread::sleep(Duration::from_millis(125));
+    }
+    let count = posted.len();
+    let answers = posted.into_iter().filter_map(|it| it.join().ok());
+    let served = answers.filter(|it| it.status == 200).count();
+    record.note(&format!("{served} of {count} served"));
+    let seen = deployment.seen();
+    let there = seen.iter().filter(|it| it.worker == worker.id);
+    let late: Vec<_> = there
+        .filter(|it| it.started_ms > acked_ms + DRAIN_MS)
+        .collect();
+    if let Some(last) = late.last() {
+        record.note(&format!(
+            "DRAIN: {} starts on {} later than {DRAIN_MS} ms after the ack, the last one {} ms after it",
+            late.len(),
+            worker.id,
+            last.started_ms - acked_ms
+        ));
+        return Ok(false);
+    }
+    Ok(served * 2 > count)
+}
+
 pub fn play(name: &str, trouble: bool, record: &Arc<Record>) -> Result<bool, Fault> {
     match name {
         "cancel" => cancel(trouble, record),
         "crash" => crash(trouble, record),
         "foreign" => foreign(trouble, record),
         "service" => service(trouble, record),
+        "drain" => drain(trouble, record),
         _ => Err(format!("no scenario {name}").into()),
     }
 }
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -22,6 +22,9 @@
 /// Most bytes of the rows of one answer.
 const PAGE_BYTES: usize = 1_000_000;
 
+/// `history_s` of the settings.
+const HISTORY: Duration = Duration::from_secs(20);
+
 type Key = (String, String, String);
 
 #[derive(Default)]
@@ -29,12 +32,16 @@
     version: u64,
     /// Value in base64, if the row was not removed, and version.
     rows: BTreeMap<Key, (Option<String>, u64)>,
+    /// Times at which the versions from 1 on were written.
+    times: Vec<Instant>,
 }
 
 pub struct Store {
     rows: Mutex<Rows>,
     changed: Condvar,
     since: Instant,
+    /// Most bytes of the rows of one answer of the feed, for which the pages set no limit.
+    feed_bytes: usize,
 }
 
 impl Store {
@@ -44,6 +51,10 @@
             rows: Mutex::default(),
             changed: Condvar::new(),
             since: Instant::now(),
+            feed_bytes: std::env::var("FEED_BYTES")
+                .ok()
+                .and_then(|it| it.parse().ok())
+                .unwrap_or(usize::MAX),
         });
         let handler = store.clone();
         let server = Server::start(
@@ -160,15 +171,30 @@
             let mut changed: Vec<_> = changed.collect();
             changed.sort_by_key(|it| it.1.1);
             let left = end.saturating_duration_since(Instant::now());
+            if rows.is_forgotten(after) {
+                return response(410, String::from("{}"));
+            }
             if !changed.is_empty() || left.is_zero() {
-                let version = match changed.len() > PAGE {
-                    true => changed[PAGE - 1].1.1,
-                    false => rows.version,
-                };
-                let has_more = changed.len() > PAGE;
-                let page = changed.into_iter().take(PAGE);
-                let page: Vec<_> = page.map(|(key, row)| render(key, row)).collect();
-                return self.answer(200, &page, has_more, version);
+                let (mut page, mut bytes, mut version) = (Vec::new(), 0, rows.version);
+                for (key, row) in changed {
+                    let rendered = render(key, row);
+                    bytes += rendered.len();
+                    if !page.is_empty() && bytes > self.feed_bytes {
+                        break;
+                    }
+                    page.push(rendered);
+                    version = row.1;
+                }
+                if bytes <= self.feed_bytes {
+                    version = rows.version;
+                }
+                let body = format!(
+                    "{{\"rows\":[{}],\"ver\":{},\"now_ms\":{}}}",
+                    page.join(","),
+                    version,
+                    self.since.elapsed().as_millis()
+                );
+                return response(200, body);
             }
             rows = self.changed.wait_timeout(rows, left).unwrap().0;
         }
@@ -176,8 +202,15 @@
 }
 
 impl Rows {
+    /// Whether changes after `version` are older than the history.
+    fn is_forgotten(&self, version: u64) -> bool {
+        let first = self.times.get(version as usize);
+        first.is_some_and(|it| it.elapsed() > HISTORY)
+    }
+
     fn write(&mut self, key: Key, value: Option<String>) {
         self.version += 1;
+        self.times.push(Instant::now());
         self.rows.insert(key, (value, self.version));
     }
 }
--- a/review/standins-2/worker.rs
+++ b/review/standins-2/worker.rs
@@ -51,6 +51,7 @@
     /// Highest run of each task that was stopped or has ended.
     over: BTreeMap<String, u64>,
     sequence: u64,
+    draining: bool,
 }
 
 impl Life {
@@ -65,6 +66,7 @@
             last_end: 0,
             over: BTreeMap::new(),
             sequence: 0,
+            draining: false,
         }
     }
 
@@ -157,11 +159,15 @@
         life.sequence += 1;
         let entry = format!(
             "{{\"service\":{},\"addr\":{},\"zone\":{},\"version\":\"v1\",\"slots\":8,\
-             \"state\":\"ready\",\"cold_left_ms\":0,\"capacity\":{{\"cpu\":64000,\"mem_mb\":262144,\
+             \"state\":{},\"cold_left_ms\":0,\"capacity\":{{\"cpu\":64000,\"mem_mb\":262144,\
              \"gpu\":0}},\"labels\":[\"a\",\"r1-1\"],\"born\":{},\"clock_ms\":{},\"seq\":{}}}",
             quote(SERVICE),
             quote(&self.address.to_string()),
             quote(&self.zone),
+            match life.draining {
+                true => "\"draining\",\"remaining_ms\":20000",
+                false => "\"ready\"",
+            },
             life.born_ms,
             life.clock_ms(),
             life.sequence
@@ -194,6 +200,14 @@
         Ok(())
     }
 
+    /// Reports that it is about to leave. It goes on working.
+    pub fn drain(&self) {
+        self.life.lock().unwrap().draining = true;
+        self.send_heartbeat();
+        self.record
+            .note(&format!("worker {} is draining, says the store", self.id));
+    }
+
     fn note_end(&self, key: &RunKey, how: &'static str) {
         self.record.note(&format!(
             "worker {}: {} run {} ends {how}",
