--- a/review/standins-2/entry.rs
+++ b/review/standins-2/entry.rs
@@ -6,12 +6,23 @@
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    sync::Mutex,
     thread,
     time::{Duration, Instant},
 };
 
 use crate::http;
 
+/// Ids of the processes that run.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Sends SIGKILL to all processes that run.
+pub fn kill_all() {
+    for id in RUNNING.lock().unwrap().iter() {
+        let _ = Command::new("kill").args(["-9", &id.to_string()]).status();
+    }
+}
+
 /// Ports of one instance.
 const PORTS: u16 = 8;
 
@@ -156,6 +167,7 @@
             .stderr(log.try_clone()?)
             .stdout(log)
             .spawn()?;
+        RUNNING.lock().unwrap().push(child.id());
         self.child = Some(child);
         Ok(())
     }
@@ -163,6 +175,7 @@
     /// Sends SIGKILL and waits for the end of the process.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
+            RUNNING.lock().unwrap().retain(|it| *it != child.id());
             let _ = child.kill();
             let _ = child.wait();
         }
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -2,9 +2,9 @@
 //! platform's load balancer, in one process that starts the entry instances as
 //! processes of their own. Only the standard library is used.
 //!
-//! `main SCENARIO RECORD` plays one scenario and exits with 1 if the rule was broken,
-//! 0 if it held and 2 if the scenario could not be played. `TROUBLE=0` leaves the
-//! disruption out.
+//! `main SCENARIO on|off RECORD` plays one scenario, with the disruption or without it. It
+//! exits with 1 if the rule was broken, 0 if it held and 2 if the scenario could not be
+//! played.
 
 mod entry;
 mod http;
@@ -16,8 +16,10 @@
 use std::{
     fs::File,
     io::Write,
+    os::unix::process::parent_id,
     sync::{Arc, Mutex},
-    time::{Instant, SystemTime, UNIX_EPOCH},
+    thread,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 /// Record of what was sent, answered and run.
@@ -53,11 +55,33 @@
     since.unwrap_or_default().as_millis() as u64
 }
 
+/// Longest time for one scenario.
+const TIME_LIMIT: Duration = Duration::from_secs(110);
+
+/// Ends all processes of this one, and this one with code 2, when the script that started
+/// it is gone or the time is over.
+fn watch() {
+    let parent = parent_id();
+    let since = Instant::now();
+    thread::spawn(move || {
+        while parent_id() == parent && since.elapsed() < TIME_LIMIT {
+            thread::sleep(Duration::from_millis(100));
+        }
+        entry::kill_all();
+        std::process::exit(2);
+    });
+}
+
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, name, path] = &arguments[..] else {
-        eprintln!("usage: SCENARIO RECORD");
-        std::process::exit(2);
+    let (name, trouble, path) = match &arguments[..] {
+        [_, name, trouble, path] if ["on", "off"].contains(&trouble.as_str()) => {
+            (name, trouble == "on", path)
+        }
+        _ => {
+            eprintln!("usage: SCENARIO on|off RECORD");
+            std::process::exit(2);
+        }
     };
     let record = match Record::new(path) {
         Ok(record) => record,
@@ -66,7 +90,7 @@
             std::process::exit(2);
         }
     };
-    let trouble = std::env::var("TROUBLE").map_or(true, |it| it != "0");
+    watch();
     record.note(&format!("scenario {name}, disruption {trouble}"));
     let code = match scenario::play(name, trouble, &record) {
         Ok(true) => 0,
--- a/review/standins-2/scenario.rs
+++ b/review/standins-2/scenario.rs
@@ -155,18 +155,36 @@
     })
 }
 
-/// A job is cancelled while it runs.
+/// Time from the submission of a job to its cancel.
+const CANCEL_AFTER: Duration = Duration::from_millis(800);
+
+/// One of five jobs is cancelled while it runs.
 fn cancel(trouble: bool, record: &Arc<Record>) -> Result<bool, Fault> {
     let deployment = Deployment::start(&["west", "east"], 4, record)?;
+    let others: Vec<_> = (1..5)
+        .map(|it| {
+            let job = format!("5c0e7a21d94b36{it:02x}");
+            submit(&deployment, it % 2, &job, chain(4, 2_000), 20_000)
+        })
+        .collect();
     let job = "5c0e7a21d94b36f8";
     let posted = submit(&deployment, 0, job, chain(4, 2_000), 20_000);
+    let submitted = Instant::now();
     let first = format!("{job}.0.0.0");
-    let start = deployment.wait_for_start(&first, 1, Duration::from_secs(5));
-    start.ok_or("the job did not start")?;
-    thread::sleep(Duration::from_millis(1_000));
+    let start = deployment.wait_for_start(&first, 1, CANCEL_AFTER);
+    start.ok_or("the job did not start in time")?;
+    thread::sleep(CANCEL_AFTER.saturating_sub(submitted.elapsed()));
+    let completed = |it: Response| it.status == 200 && it.body.contains("completed");
+    let all_completed = |others: Vec<thread::JoinHandle<Response>>| {
+        let mut others = others.into_iter();
+        others.all(|it| it.join().is_ok_and(completed))
+    };
     if !trouble {
         let answer = posted.join().map_err(|_| "client failed")?;
-        return Ok(answer.status == 200 && answer.body.contains("completed"));
+        return match completed(answer) && all_completed(others) {
+            true => Ok(true),
+            false => Err("a job that nobody cancelled was not completed".into()),
+        };
     }
     let path = format!("{PREFIX}{job}");
     let front = deployment.entries[0].front;
@@ -179,9 +197,13 @@
     }
     // The client stays: it neither leaves nor breaks its connection.
     let _ = posted.join();
+    if !all_completed(others) {
+        return Err("a job that nobody cancelled was not completed".into());
+    }
     let bound_ms = acked_ms + CANCEL_MS;
     let mut held = true;
-    for it in deployment.seen() {
+    let seen = deployment.seen().into_iter();
+    for it in seen.filter(|it| it.task.starts_with(job)) {
         if it.started_ms > bound_ms {
             let late = it.started_ms - acked_ms;
             record.note(&format!(
@@ -311,7 +333,7 @@
 
 /// A worker is drained just after another writer has written many entries.
 fn drain(trouble: bool, record: &Arc<Record>) -> Result<bool, Fault> {
-    let deployment = Deployment::start(&["west", "east"], 4, record)?;
+    let deployment = Deployment::start(&["west", "east"], 16, record)?;
     thread::sleep(Duration::from_secs(1));
     if trouble {
         let junk: Vec<u8> = (0..FOREIGN_BYTES).map(|it| 128 + (it % 97) as u8).collect();
@@ -331,7 +353,7 @@
         let number = posted.len();
         let job = format!("{:016x}", 0x4b36_f800_0000_0000_u64 + number as u64);
         let entry = number % deployment.entries.len();
-        let body = r#"{"spec":"200","steps":[{"count":3,"cpu":27000,"mem_mb":64,"estimate_ms":200}],"best_effort":true}"#;
+        let body = r#"{"spec":"400","steps":[{"count":6,"cpu":27000,"mem_mb":64,"estimate_ms":400}],"best_effort":true}"#;
         posted.push(submit(&deployment, entry, &job, body.to_owned(), 1_500));
         thread::sleep(Duration::from_millis(125));
     }
@@ -353,7 +375,10 @@
         ));
         return Ok(false);
     }
-    Ok(served * 2 > count)
+    if served * 2 <= count {
+        return Err("under half of the jobs were served".into());
+    }
+    Ok(true)
 }
 
 pub fn play(name: &str, trouble: bool, record: &Arc<Record>) -> Result<bool, Fault> {
