Limit what all callers together make a process hold

Callers saw: the process ends when it is out of memory, and with it go the answers of everybody. 64 clients with bodies of legal size that stop short of their end, whole, in pieces or in chunks, made an instance hold 250 MiB and more, on a machine of 64 MB in the tests. 800 connections that send nothing took 827 descriptors of 512, or all that the process had, so that nobody else could connect.

Cause: limits belonged to one connection. Nothing counted what all of them hold together, nor how many there are; neither the memory nor the descriptors of the settings were read.

Every connection now has an account with one budget from its accept to its close, charged before a byte is read: for its task and its receive buffer (which is set to 32 KiB on the listener), for its buffers and its body. Bodies grow in blocks of 16 KiB as they arrive instead of by doubling, and chunked ones are taken apart as they arrive. `http::ledger` decides without I/O who makes room for whom: closing connections first, then the longest idle one or the one that holds most, never a request in progress. Who is evicted or refused gets 503 with Retry-After, and nothing of the request is handed on. Health checks and metrics have small budgets of their own. A process that has fewer descriptors than its settings say closes a quarter of the callers' connections when an accept finds none.

A connection whose input never ends gives way to others after 64 KiB or 1,024 chunks.

--- a/crates/bluebellpath/src/daemon/mod.rs
+++ b/crates/bluebellpath/src/daemon/mod.rs
@@ -22,7 +22,7 @@
     caller::Api,
     config::{LocalConfig, Timing},
     entry::{Config, Dependencies, Entry},
-    http::{Client, ClientConfig, Server},
+    http::{Budget, Client, ClientConfig, Server},
     job::Incarnation,
     log,
     peer::{self, Key, Link, Net, Offline},
@@ -33,7 +33,7 @@
 
 /// Runs an entry instance until it is told to stop by a signal.
 pub async fn run(settings: Settings) -> Result<Life<Stopped>, Error> {
-    let listener = TcpListener::bind(settings.listen).map_err(|error| Error {
+    let listener = Server::listen(settings.listen).map_err(|error| Error {
         step: Step::Listen,
         peer: settings.listen,
         detail: error.to_string(),
@@ -87,9 +87,10 @@
             log::PER_SECOND,
         );
         let (env, config) = parts(settings, incarnation, &log)?;
+        let budget = env.callers.clone();
         let entry = Entry::new(config, env);
         let api = Rc::new(Api::new(entry.clone()));
-        let server = Server::new(listener, api, settings.http);
+        let server = Server::with_budget(listener, api, settings.http, budget);
         let life = Life::new(entry.clone(), server.closer(), settings.drain, log);
         let scope = Scope::new();
         drop(scope.spawn(async move {
@@ -119,6 +120,7 @@
         target_client: Rc::new(target::Http::new(client)),
         link,
         config: Rc::new(LocalConfig::empty(Timing::default())),
+        callers: Budget::new(settings.capacity, log.clone()),
         log: log.clone(),
     };
     let config = Config {
--- a/crates/bluebellpath/src/entry/dependencies.rs
+++ b/crates/bluebellpath/src/entry/dependencies.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     config::LocalConfig,
+    http::Budget,
     peer::Link,
     platform::{List, Store, Table},
     target::Client,
@@ -26,6 +27,8 @@
     pub link: Rc<dyn Link>,
     /// Configuration in force.
     pub config: Rc<LocalConfig>,
+    /// What callers hold.
+    pub callers: Budget,
     /// Logger.
     pub log: Logger,
 }
--- a/crates/bluebellpath/src/entry/diagnostics.rs
+++ b/crates/bluebellpath/src/entry/diagnostics.rs
@@ -25,6 +25,7 @@
             config_version: state.deps.config.view().version,
             // A configuration from a file has no read time and is always current.
             config_age_ms: read_ms.map_or(0, |it| clock::wall().saturating_sub(it)),
+            callers: state.deps.callers.usage(),
             ..Sample::default()
         })
     }
--- a/crates/bluebellpath/src/http/error.rs
+++ b/crates/bluebellpath/src/http/error.rs
@@ -43,6 +43,9 @@
     /// Bytes that are no HTTP.
     #[display("malformed message")]
     Malformed,
+    /// Callers hold all that they may.
+    #[display("no room for the request")]
+    NoRoom,
     /// All connections that the other side allows are in use.
     #[display("no connection free")]
     Connections,
--- a/crates/bluebellpath/src/http/limits.rs
+++ b/crates/bluebellpath/src/http/limits.rs
@@ -17,6 +17,16 @@
     pub write: Duration,
 }
 
+impl Limits {
+    /// Limits on requests that have no body worth mentioning: 1 KiB.
+    pub fn for_probes() -> Limits {
+        Limits {
+            body_bytes: 1 << 10,
+            ..Limits::default()
+        }
+    }
+}
+
 impl Default for Limits {
     /// 16 KiB heads, 4 MiB bodies, 60 s idle, 10 s per message and write.
     fn default() -> Limits {
--- a/crates/bluebellpath/src/http/message.rs
+++ b/crates/bluebellpath/src/http/message.rs
@@ -1,9 +1,13 @@
 //! Whole messages.
 
+use std::rc::Rc;
+
 use ::http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 use bytes::Bytes;
 use serde::Serialize;
 
+use super::Account;
+
 /// Request with its whole body.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -17,6 +21,9 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// Account of the caller's connection, on the serving side. It is charged with the
+    /// body until the answer; a service that holds more or less charges it with that.
+    pub account: Option<Rc<Account>>,
 }
 
 impl Request {
@@ -28,6 +35,7 @@
             query: None,
             headers: HeaderMap::new(),
             body: Bytes::new(),
+            account: None,
         }
     }
 
--- a/crates/bluebellpath/src/http/reader.rs
+++ b/crates/bluebellpath/src/http/reader.rs
@@ -1,17 +1,16 @@
 //! Reads whole messages off a connection, within limits.
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use ::http::{HeaderMap, header};
-use bluebellpath_runtime::clock;
-use bytes::{Bytes, BytesMut};
+use bluebellpath_runtime::{clock, runtime};
+use bytes::{Buf, Bytes, BytesMut};
+use httparse::Status;
 use monoio::io::AsyncReadRent;
 use monoio_codec::{Decoded, Decoder};
-use monoio_http::h1::codec::decoder::{
-    ChunkedBodyDecoder, RequestHeadDecoder, ResponseHeadDecoder,
-};
+use monoio_http::h1::codec::decoder::{RequestHeadDecoder, ResponseHeadDecoder};
 
-use super::{Fault, Limits};
+use super::{Account, Fault, Limits, body::Body};
 
 /// Fewest bytes asked of the socket at once: most messages are smaller, and so
 /// is what the allocator hands out without searching.
@@ -20,8 +19,29 @@
 /// Most bytes asked of the socket at once.
 const MAX_CHUNK_BYTES: usize = 64 << 10;
 
-/// Most bytes of a chunk's size, line ends and the last chunk.
-const MAX_CHUNK_FRAME: usize = 64;
+/// Most bytes asked at once of a socket whose bytes are charged to an account. Each
+/// connection that waits for input holds so much.
+const MAX_CHARGED_CHUNK_BYTES: usize = 16 << 10;
+
+/// Longest line with the size of a chunk, in bytes.
+const MAX_CHUNK_LINE: usize = 64;
+
+/// Most bytes of the lines between chunks, in bodies of the largest size: chunks of one
+/// byte take five.
+const MAX_FRAMING: usize = 8;
+
+/// Largest body that is received in one piece, in bytes.
+const MAX_PIECE: usize = 64 << 10;
+
+/// Bytes of a reader that the fixed part of an account covers.
+pub(super) const COVERED_BYTES: usize = 8 << 10;
+
+/// Step in which an account is charged, in bytes.
+const CHARGE_STEP: usize = 4 << 10;
+
+/// Input in bytes, and chunks, after which other connections get their turn.
+const TURN_BYTES: usize = 64 << 10;
+const TURN_CHUNKS: usize = 1_024;
 
 /// Length of a body, as its head declares it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,6 +55,13 @@
     io: R,
     buffer: BytesMut,
     chunk_bytes: usize,
+    max_chunk_bytes: usize,
+    /// Pays for what is buffered.
+    account: Option<Rc<Account>>,
+    /// Bytes that the account is charged with for this reader.
+    charged: usize,
+    /// Input since other connections had their turn.
+    turn_bytes: usize,
 }
 
 impl<R: AsyncReadRent> Reader<R> {
@@ -43,6 +70,19 @@
             io,
             buffer: BytesMut::new(),
             chunk_bytes: MIN_CHUNK_BYTES,
+            max_chunk_bytes: MAX_CHUNK_BYTES,
+            account: None,
+            charged: 0,
+            turn_bytes: 0,
+        }
+    }
+
+    /// Reader that charges what it buffers to `account`.
+    pub(super) fn charged(io: R, account: Rc<Account>) -> Reader<R> {
+        Reader {
+            max_chunk_bytes: MAX_CHARGED_CHUNK_BYTES,
+            account: Some(account),
+            ..Reader::new(io)
         }
     }
 
@@ -51,7 +91,7 @@
         if !self.buffer.is_empty() {
             return Ok(true);
         }
-        self.fill().await
+        self.fill(0).await
     }
 
     /// Reads the head of a request.
@@ -86,6 +126,7 @@
     ) -> Result<Bytes, Fault> {
         let read = async {
             match length {
+                Length::Known(length) if length <= MAX_PIECE => self.piece(length, silence).await,
                 Length::Known(length) => self.known(length, silence).await,
                 Length::Chunked => self.chunked(limits.body_bytes, silence).await,
             }
@@ -95,50 +136,101 @@
             .ok_or(Fault::TimedOut)?
     }
 
-    async fn known(&mut self, length: usize, silence: Duration) -> Result<Bytes, Fault> {
+    async fn piece(&mut self, length: usize, silence: Duration) -> Result<Bytes, Fault> {
+        if let Some(missing) = length.checked_sub(self.buffer.len()) {
+            self.charge(length + self.chunk_bytes).await?;
+            self.buffer.reserve(missing);
+        }
         while self.buffer.len() < length {
-            self.more(silence).await?;
+            self.more(silence, 0).await?;
         }
         Ok(self.buffer.split_to(length).freeze())
     }
 
-    /// Reads a chunked body of up to `limit` bytes, without extensions or
-    /// trailers.
-    async fn chunked(&mut self, limit: usize, silence: Duration) -> Result<Bytes, Fault> {
-        let mut body = BytesMut::new();
+    async fn known(&mut self, length: usize, silence: Duration) -> Result<Bytes, Fault> {
+        let mut body = Body::default();
         loop {
-            let mut decoder = ChunkedBodyDecoder::default();
-            while self.buffer.is_empty() {
-                self.more(silence).await?;
+            let missing = length - body.len();
+            let now = self.buffer.len().min(missing);
+            body.extend(&self.buffer.split_to(now));
+            if now == missing {
+                return Ok(body.join());
+            }
+            self.more(silence, body.size_with(self.max_chunk_bytes))
+                .await?;
+        }
+    }
+
+    /// Reads a chunked body of up to `limit` bytes, without trailers.
+    async fn chunked(&mut self, limit: usize, silence: Duration) -> Result<Bytes, Fault> {
+        let mut body = Body::default();
+        let mut framing = 0;
+        for chunk in 1.. {
+            let size = self.chunk_size(&body, silence, &mut framing).await?;
+            if size > limit - body.len() || framing > MAX_FRAMING * limit {
+                return Err(Fault::BodyTooLarge);
+            }
+            let end = body.len() + size;
+            while body.len() < end {
+                let now = self.buffer.len().min(end - body.len());
+                body.extend(&self.buffer.split_to(now));
+                if body.len() < end {
+                    self.more(silence, body.size_with(self.max_chunk_bytes))
+                        .await?;
+                }
+            }
+            while self.buffer.len() < LINE_END.len() {
+                self.more(silence, body.size_with(self.max_chunk_bytes))
+                    .await?;
+            }
+            if !self.buffer.starts_with(LINE_END) {
+                return Err(Fault::Malformed);
             }
-            // The decoder takes a chunk without a size for the last one.
-            if !self.buffer[0].is_ascii_hexdigit() {
+            self.buffer.advance(LINE_END.len());
+            if size == 0 {
+                break;
+            }
+            if chunk % TURN_CHUNKS == 0 {
+                runtime::yield_now().await;
+            }
+        }
+        Ok(body.join())
+    }
+
+    /// Reads the line with the size of the next chunk, and adds its length to
+    /// `framing`.
+    async fn chunk_size(
+        &mut self,
+        body: &Body,
+        silence: Duration,
+        framing: &mut usize,
+    ) -> Result<usize, Fault> {
+        loop {
+            let first = self.buffer.first();
+            // The parser takes a line without a size for the last chunk.
+            if first.is_some_and(|it| !it.is_ascii_hexdigit()) {
                 return Err(Fault::Malformed);
             }
-            let chunk = loop {
-                // The decoder wants the whole chunk, so the limit is tested on
-                // what it holds back.
-                if body.len() + self.buffer.len() > limit + MAX_CHUNK_FRAME {
-                    return Err(Fault::BodyTooLarge);
+            let line = &self.buffer[..self.buffer.len().min(MAX_CHUNK_LINE)];
+            match httparse::parse_chunk_size(line) {
+                Ok(Status::Complete((length, size))) => {
+                    self.buffer.advance(length);
+                    *framing += length + LINE_END.len();
+                    return usize::try_from(size).map_err(|_| Fault::BodyTooLarge);
                 }
-                match decoder.decode(&mut self.buffer) {
-                    Ok(Decoded::Some(chunk)) => break chunk,
-                    Ok(_) => self.more(silence).await?,
-                    Err(_) => return Err(Fault::Malformed),
+                Ok(Status::Partial) if line.len() < MAX_CHUNK_LINE => {
+                    self.more(silence, body.size_with(self.max_chunk_bytes))
+                        .await?;
                 }
-            };
-            match chunk {
-                Some(chunk) if body.len() + chunk.len() > limit => return Err(Fault::BodyTooLarge),
-                Some(chunk) => body.extend_from_slice(&chunk),
-                None => return Ok(body.freeze()),
+                Ok(Status::Partial) | Err(_) => return Err(Fault::Malformed),
             }
         }
     }
 
-    /// Reads more input; errs at the end of the stream, or when none comes within
-    /// `silence`.
-    async fn more(&mut self, silence: Duration) -> Result<(), Fault> {
-        let filled = clock::timeout(silence, self.fill()).await;
+    /// Reads more input beside a body of `body_bytes`; errs at the end of the stream, or
+    /// when none comes within `silence`.
+    async fn more(&mut self, silence: Duration, body_bytes: usize) -> Result<(), Fault> {
+        let filled = clock::timeout(silence, self.fill(body_bytes)).await;
         match filled.ok_or(Fault::TimedOut)?? {
             true => Ok(()),
             // The other side may still listen for an answer.
@@ -157,12 +249,29 @@
         if self.buffer.is_empty() {
             self.buffer = BytesMut::new();
         }
+        self.chunk_bytes = MIN_CHUNK_BYTES;
+    }
+
+    /// Gives back what the account was charged with, but for what is still buffered.
+    pub(super) fn settle(&mut self) {
+        self.charged = uncovered(self.buffer.capacity() + self.chunk_bytes);
+        if let Some(account) = &self.account {
+            account.shrink(self.charged);
+        }
+    }
+
+    /// Drops the input that is here and gives back what it was charged with.
+    pub(super) fn clear(&mut self) {
+        self.buffer = BytesMut::new();
+        self.chunk_bytes = MIN_CHUNK_BYTES;
+        self.settle();
     }
 
     /// Reads and forgets some input; false at the end of the stream.
     pub(super) async fn discard(&mut self) -> bool {
         self.buffer.clear();
-        self.fill().await.unwrap_or(false)
+        self.chunk_bytes = self.chunk_bytes.min(COVERED_BYTES / 4);
+        self.fill(0).await.unwrap_or(false)
     }
 
     async fn head<D: Decoder>(&mut self, decoder: &mut D, limit: usize) -> Result<D::Item, Fault> {
@@ -173,7 +282,7 @@
                 Ok(_) => {}
                 Err(_) => return Err(Fault::Malformed),
             }
-            if !self.fill().await? {
+            if !self.fill(0).await? {
                 let fault = if self.buffer.is_empty() {
                     Fault::Closed
                 } else {
@@ -187,12 +296,18 @@
     /// Asks for more at once while the socket fills what it is given.
     fn resize(&mut self, read: usize) {
         self.chunk_bytes = match read == self.chunk_bytes {
-            true => (2 * read).min(MAX_CHUNK_BYTES),
+            true => (2 * read).min(self.max_chunk_bytes),
             false => MIN_CHUNK_BYTES,
         };
     }
 
-    async fn fill(&mut self) -> Result<bool, Fault> {
+    async fn fill(&mut self, body_bytes: usize) -> Result<bool, Fault> {
+        if self.account.is_some() {
+            // The buffer may grow to twice its length.
+            let buffer = self.buffer.capacity().max(2 * self.buffer.len());
+            self.charge(buffer + 2 * self.chunk_bytes + body_bytes)
+                .await?;
+        }
         // Lending the buffer's free end to the socket instead costs more: the
         // split and the shared count outweigh the copy of a small message.
         let chunk = Vec::with_capacity(self.chunk_bytes);
@@ -202,11 +317,45 @@
             Ok(read) => {
                 self.resize(read);
                 self.buffer.extend_from_slice(&chunk[..read]);
+                self.take_turns(read).await;
                 Ok(true)
             }
             Err(_) => Err(Fault::Io),
         }
     }
+
+    /// Charges the account with `bytes` that are held, unless it is already.
+    async fn charge(&mut self, bytes: usize) -> Result<(), Fault> {
+        let bytes = uncovered(bytes);
+        match &self.account {
+            Some(account) if bytes > self.charged => {
+                account.charge(bytes).await?;
+                self.charged = bytes;
+                Ok(())
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// Lets other connections have their turn after some input, as a socket that is
+    /// always ready never waits.
+    async fn take_turns(&mut self, read: usize) {
+        self.turn_bytes += read;
+        if self.turn_bytes >= TURN_BYTES {
+            self.turn_bytes = 0;
+            runtime::yield_now().await;
+        }
+    }
+}
+
+/// End of a line.
+const LINE_END: &[u8] = b"\r\n";
+
+/// Part of `bytes` that the fixed part of an account does not cover, in whole steps.
+fn uncovered(bytes: usize) -> usize {
+    bytes
+        .saturating_sub(COVERED_BYTES)
+        .next_multiple_of(CHARGE_STEP)
 }
 
 /// Length of the body that `headers` declare, within `limits`.
--- a/crates/bluebellpath/src/http/server.rs
+++ b/crates/bluebellpath/src/http/server.rs
@@ -1,13 +1,13 @@
 //! Serving side.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use ::http::{HeaderMap, HeaderValue, Method, StatusCode, Version, header};
-use bluebellpath_runtime::{LocalFuture, Notify, clock, spawn};
+use bluebellpath_runtime::{LocalFuture, Notify, clock, runtime, spawn};
 use futures_util::future::{Either, select};
 use monoio::{
     io::{AsyncWriteRent, AsyncWriteRentExt, Splitable, sink::SinkExt},
-    net::{TcpListener, TcpStream, tcp::TcpOwnedReadHalf},
+    net::{ListenerOpts, TcpListener, TcpStream, tcp::TcpOwnedReadHalf},
 };
 use monoio_http::h1::{
     codec::encoder::GenericEncoder,
@@ -15,16 +15,24 @@
 };
 
 use super::{
-    Fault, Limits, Request, Response,
+    Account, Budget, Fault, Limits, Request, Response,
+    ledger::{Phase, RECEIVE_BUFFER_BYTES},
     reader::{Reader, declared},
 };
 
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
+/// Errors of a process, and of a system, without a free descriptor.
+const EMFILE: i32 = 24;
+const ENFILE: i32 = 23;
+
 /// Longest wait for one more connection before a listener closes.
 const BACKLOG_WAIT: Duration = Duration::from_millis(20);
 
+/// Most connections that wait for their accept. Each may hold a full receive buffer.
+const MAX_BACKLOG_CONNECTIONS: i32 = 512;
+
 /// Longest time for emptying the backlog.
 const MAX_BACKLOG: Duration = Duration::from_millis(500);
 
@@ -32,8 +40,8 @@
 /// close, several times the way from a caller.
 const LAST_CALL: Duration = Duration::from_millis(100);
 
-/// Status of the last answer on a connection that idled too long.
-const IDLE_STATUS: StatusCode = StatusCode::REQUEST_TIMEOUT;
+/// Seconds after which a caller may return for whom there was no room.
+const RETRY_AFTER_S: u64 = 1;
 
 /// Answers requests.
 pub trait Service {
@@ -61,6 +69,7 @@
 struct Shared {
     service: Rc<dyn Service>,
     limits: Limits,
+    budget: Budget,
     closing: Cell<bool>,
     closed: Notify,
     open: Cell<usize>,
@@ -90,11 +99,32 @@
 }
 
 impl Server {
-    /// Server of `listener`.
+    /// Listener whose connections hold no more unread bytes in the system than a
+    /// [`Budget`] expects.
+    pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+        let options = ListenerOpts::new()
+            .backlog(MAX_BACKLOG_CONNECTIONS)
+            .recv_buf_size(RECEIVE_BUFFER_BYTES)
+            .send_buf_size(RECEIVE_BUFFER_BYTES);
+        TcpListener::bind_with_config(address, &options)
+    }
+
+    /// Server of `listener`, whose callers together may hold as much as they like.
     pub fn new(listener: TcpListener, service: Rc<dyn Service>, limits: Limits) -> Server {
+        Server::with_budget(listener, service, limits, Budget::unlimited())
+    }
+
+    /// Server of `listener`, whose callers hold no more than `budget`.
+    pub fn with_budget(
+        listener: TcpListener,
+        service: Rc<dyn Service>,
+        limits: Limits,
+        budget: Budget,
+    ) -> Server {
         let shared = Shared {
             service,
             limits,
+            budget,
             closing: Cell::new(false),
             closed: Notify::new(),
             open: Cell::new(0),
@@ -117,13 +147,18 @@
             let closed = std::pin::pin!(self.shared.closed.notified());
             let accept = std::pin::pin!(self.listener.accept());
             match select(accept, closed).await {
-                Either::Left((Ok((stream, _)), _)) => {
-                    drop(spawn(serve(stream, self.shared.clone())));
+                Either::Left((Ok((stream, _)), _)) => self.welcome(stream).await,
+                Either::Left((Err(error), _)) => {
+                    if matches!(error.raw_os_error(), Some(EMFILE | ENFILE)) {
+                        self.shared.budget.shed();
+                    }
+                    // Accepting again at once would spin.
+                    clock::sleep(ACCEPT_PAUSE).await;
                 }
-                // Out of descriptors: accepting again at once would spin.
-                Either::Left((Err(_), _)) => clock::sleep(ACCEPT_PAUSE).await,
                 Either::Right(_) => {}
             }
+            // Callers that never stop connecting leave their turn to those that have.
+            runtime::yield_now().await;
         }
         self.empty_backlog().await;
         self.shared.listening.set(false);
@@ -139,7 +174,21 @@
             let Some(Ok((stream, _))) = clock::timeout(BACKLOG_WAIT, accept).await else {
                 return;
             };
-            drop(spawn(serve(stream, self.shared.clone())));
+            self.welcome(stream).await;
+        }
+    }
+
+    /// Serves a connection, or refuses it if there is no room.
+    async fn welcome(&self, mut stream: TcpStream) {
+        let shared = &self.shared;
+        match shared.budget.admit().await {
+            Some(account) => drop(spawn(serve(stream, account, shared.clone()))),
+            None => {
+                let response = refusal(shared, Fault::NoRoom, StatusCode::SERVICE_UNAVAILABLE);
+                // Nothing is in the way of a first small answer.
+                let sent = send(&mut stream, response, false);
+                clock::timeout(ACCEPT_PAUSE, sent).await;
+            }
         }
     }
 }
@@ -159,55 +208,112 @@
     }
 }
 
-async fn serve(stream: TcpStream, shared: Rc<Shared>) {
+async fn serve(stream: TcpStream, account: Account, shared: Rc<Shared>) {
     let _open = Open::new(&shared);
+    let account = Rc::new(account);
     // Without this a small answer waits for the other side's delayed ack.
     let _ = stream.set_nodelay(true);
     let (read, mut write) = stream.into_split();
-    let mut reader = Reader::new(read);
+    let mut reader = Reader::charged(read, account.clone());
     loop {
-        match wait(&mut reader, &shared).await {
-            Wait::Request => {}
-            Wait::Idle => {
-                // A request may be under way; this answer says that it was not
-                // run, which stays true because nothing more is read.
-                let response = shared.service.malformed(IDLE_STATUS, Fault::TimedOut);
-                send_within(&mut write, response, false, &shared.limits).await;
-                break;
-            }
-            Wait::Gone => return,
-        }
-        let received = receive(&mut reader, &mut write, &shared.limits).await;
-        reader.release();
-        let (response, keep) = match received {
-            Ok((request, keep)) => {
-                let bodiless = request.method == Method::HEAD;
-                let call = shared.service.call(request);
-                let Some(mut response) = answer(call, &mut reader, &shared).await else {
-                    return;
-                };
-                if bodiless {
-                    response.body.clear();
-                }
-                (response, keep)
-            }
-            Err(fault) => match status(fault) {
-                Some(status) => (shared.service.malformed(status, fault), false),
-                None => return,
-            },
+        let fault = match exchange(&mut reader, &mut write, &account, &shared).await {
+            Exchange::Kept => continue,
+            Exchange::Gone => return,
+            Exchange::Ended => None,
+            Exchange::Failed(fault) => Some(fault),
         };
-        // Requests that were sent ahead are still answered before the end.
-        let keep = keep && (!shared.closing.get() || reader.has_input());
-        if !send_within(&mut write, response, keep, &shared.limits).await {
+        reader.clear();
+        account.enter(Phase::Closing);
+        // A connection that makes room for others twice is closed at once.
+        let end = end(reader, write, fault, &shared);
+        account.unless_evicted(end).await;
+        return;
+    }
+}
+
+/// What came of one exchange.
+enum Exchange {
+    /// The connection waits for the next one.
+    Kept,
+    /// The answer was the last one.
+    Ended,
+    /// There was no valid request, or no room for it.
+    Failed(Fault),
+    /// The caller can't be reached any more.
+    Gone,
+}
+
+/// Receives a request and answers it.
+async fn exchange(
+    reader: &mut Reader<TcpOwnedReadHalf>,
+    write: &mut impl AsyncWriteRent,
+    account: &Rc<Account>,
+    shared: &Shared,
+) -> Exchange {
+    match account.unless_evicted(wait(reader, shared)).await {
+        Some(Wait::Request) => {}
+        // A request may be under way; the answer says that it was not run, which
+        // stays true because nothing more is read.
+        Some(Wait::Idle) => return Exchange::Failed(Fault::TimedOut),
+        Some(Wait::Gone) => return Exchange::Gone,
+        None => return Exchange::Failed(Fault::NoRoom),
+    }
+    account.enter(Phase::Receiving);
+    let received = receive(reader, write, &shared.limits);
+    let received = account.unless_evicted(received).await;
+    reader.release();
+    let (mut request, keep) = match received.unwrap_or(Err(Fault::NoRoom)) {
+        Ok(received) => received,
+        Err(fault) => return Exchange::Failed(fault),
+    };
+    account.enter(Phase::Serving);
+    request.account = Some(account.clone());
+    let bodiless = request.method == Method::HEAD;
+    let call = shared.service.call(request);
+    let Some(mut response) = answer(call, reader, shared).await else {
+        return Exchange::Gone;
+    };
+    if bodiless {
+        response.body.clear();
+    }
+    // Requests that were sent ahead are still answered before the end.
+    let keep = keep && (!shared.closing.get() || reader.has_input());
+    reader.settle();
+    account.enter(Phase::Idle);
+    let sent = send_within(write, response, keep, &shared.limits);
+    match account.unless_evicted(sent).await {
+        Some(true) if keep => Exchange::Kept,
+        Some(true) => Exchange::Ended,
+        Some(false) | None => Exchange::Gone,
+    }
+}
+
+/// Answers with `fault`, if there is one, and closes the connection.
+async fn end(
+    reader: Reader<TcpOwnedReadHalf>,
+    mut write: impl AsyncWriteRent,
+    fault: Option<Fault>,
+    shared: &Shared,
+) {
+    if let Some(fault) = fault {
+        let Some(status) = status(fault) else { return };
+        let response = refusal(shared, fault, status);
+        if !send_within(&mut write, response, false, &shared.limits).await {
             return;
         }
-        if !keep {
-            break;
-        }
     }
     linger(reader, write, &shared.limits).await;
 }
 
+/// Answer to input that is no valid request, or for which there is no room.
+fn refusal(shared: &Shared, fault: Fault, status: StatusCode) -> Response {
+    let response = shared.service.malformed(status, fault);
+    match fault {
+        Fault::NoRoom => response.with_header(header::RETRY_AFTER, &RETRY_AFTER_S.to_string()),
+        _ => response,
+    }
+}
+
 /// Waits for the answer; `None` once the caller has left, where that ends it.
 async fn answer(
     call: LocalFuture<'static, Response>,
@@ -288,7 +394,10 @@
     // Tested before the go-ahead, so that nobody sends a body in vain.
     let length = declared(&head.headers, limits)?;
     if expects_continue(&head.headers) {
-        let (result, _) = write.write_all(&b"HTTP/1.1 100 Continue\r\n\r\n"[..]).await;
+        let sent = write.write_all(&b"HTTP/1.1 100 Continue\r\n\r\n"[..]);
+        let (result, _) = clock::timeout(limits.write, sent)
+            .await
+            .ok_or(Fault::TimedOut)?;
         result.map_err(|_| Fault::Io)?;
     }
     let body = reader.body(length, limits, limits.message).await?;
@@ -299,6 +408,7 @@
         query: head.uri.query().map(str::to_owned),
         headers: head.headers,
         body,
+        account: None,
     };
     Ok((request, keep))
 }
@@ -326,6 +436,7 @@
         Fault::HeadTooLarge => Some(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE),
         Fault::BodyTooLarge => Some(StatusCode::PAYLOAD_TOO_LARGE),
         Fault::Malformed => Some(StatusCode::BAD_REQUEST),
+        Fault::NoRoom => Some(StatusCode::SERVICE_UNAVAILABLE),
         Fault::Closed | Fault::Refused | Fault::Io | Fault::Connections | Fault::Lapsed => None,
     }
 }
--- a/crates/bluebellpath/src/metric/meters.rs
+++ b/crates/bluebellpath/src/metric/meters.rs
@@ -188,6 +188,31 @@
                 "Failure domains in which nothing may be started",
             ),
         ),
+        (
+            |it| it.callers.connections,
+            gauge("caller_connections", "Open connections of callers"),
+        ),
+        (
+            |it| it.callers.bytes,
+            gauge(
+                "caller_bytes",
+                "Bytes charged to the connections of callers",
+            ),
+        ),
+        (
+            |it| it.callers.evictions,
+            gauge(
+                "caller_evictions",
+                "Connections of callers closed to make room for others",
+            ),
+        ),
+        (
+            |it| it.callers.refusals,
+            gauge(
+                "caller_refusals",
+                "Connections and requests refused for lack of room",
+            ),
+        ),
     ]
 }
 
--- a/crates/bluebellpath/src/metric/sample.rs
+++ b/crates/bluebellpath/src/metric/sample.rs
@@ -1,5 +1,7 @@
 //! Values that are read when metrics are.
 
+use crate::http::Usage;
+
 /// Values that are read when metrics are.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Sample {
@@ -33,4 +35,6 @@
     pub starts_spilled: u64,
     /// Failure domains in which an operator lets nothing start.
     pub evacuated_domains: u64,
+    /// What callers hold, and what was refused them.
+    pub callers: Usage,
 }
--- a/crates/bluebellpath/src/settings/process.rs
+++ b/crates/bluebellpath/src/settings/process.rs
@@ -7,10 +7,22 @@
 
 use super::{
     Domain, Drain, Error, Peers,
-    rule::{ADDRESS, BODY_SIZE, HEAD_SIZE, JOB_COUNT, LOG_LEVEL, NAME, NAME_LIST, TIMEOUT},
+    rule::{
+        ADDRESS, BODY_SIZE, CONNECTION_COUNT, HEAD_SIZE, JOB_COUNT, LOG_LEVEL, MEMORY_SIZE, NAME,
+        NAME_LIST, TIMEOUT,
+    },
     section::{Section, Source},
 };
-use crate::http::Limits;
+use crate::http::{Limits, ledger::Capacity};
+
+/// Memory of all callers together where the settings set none, in bytes.
+const DEFAULT_MEMORY: usize = 256 << 20;
+
+/// Connections of all callers where the settings set none.
+const DEFAULT_CONNECTIONS: usize = 4_096;
+
+/// Bodies of the largest size that fit into the memory of all callers.
+const MIN_BODIES: usize = 4;
 
 /// Settings of an entry daemon.
 #[derive(Clone, Debug, PartialEq)]
@@ -31,6 +43,8 @@
     pub peers: Option<Peers>,
     /// Limits on HTTP requests of callers.
     pub http: Limits,
+    /// Limits on what all callers together hold.
+    pub capacity: Capacity,
     /// Timing of a planned stop.
     pub drain: Drain,
     /// Maximum number of jobs kept in memory, including answered ones.
@@ -41,8 +55,9 @@
 
 impl Settings {
     /// Default settings for the instance `name` in the only domain `domain`: a
-    /// platform timeout of 5 s, no peers, 100,000 jobs, log level `info`, and the
-    /// defaults of [`Limits`] and [`Drain`].
+    /// platform timeout of 5 s, no peers, 256 MiB and 4,096 connections for all
+    /// callers, 100,000 jobs, log level `info`, and the defaults of [`Limits`] and
+    /// [`Drain`].
     pub fn new(name: &str, domain: &str, listen: SocketAddr, platform: SocketAddr) -> Settings {
         Settings {
             name: name.to_owned(),
@@ -53,6 +68,7 @@
             platform_timeout: Duration::from_secs(5),
             peers: None,
             http: Limits::default(),
+            capacity: Capacity::new(DEFAULT_MEMORY, DEFAULT_CONNECTIONS),
             drain: Drain::default(),
             max_jobs: 100_000,
             log_level: Level::Info,
@@ -128,7 +144,7 @@
         section.check_fields();
         peers
     });
-    let http = root.section("http").map(limits);
+    let http = root.section("http").map(|it| limits(source, it));
     let drain = root.section("drain").map(|section| {
         let drain = Drain::read(&section);
         section.check_fields();
@@ -145,11 +161,13 @@
     }
     root.check_fields();
     let defaults = Settings::new(&name?, &domain?, listen?, platform?);
+    let (http, capacity) = http.unwrap_or((defaults.http, defaults.capacity));
     Some(Settings {
         domains: domains?,
         platform_timeout: platform_timeout.unwrap_or(defaults.platform_timeout),
         peers,
-        http: http.unwrap_or(defaults.http),
+        http,
+        capacity,
         drain: drain.unwrap_or(defaults.drain),
         max_jobs: max_jobs.unwrap_or(defaults.max_jobs),
         log_level: log_level.unwrap_or(defaults.log_level),
@@ -157,7 +175,7 @@
     })
 }
 
-fn limits(section: Section<'_>) -> Limits {
+fn limits(source: &Source<'_>, section: Section<'_>) -> (Limits, Capacity) {
     let default = Limits::default();
     let time = |name, default| section.optional(name, &TIMEOUT).unwrap_or(default);
     let limits = Limits {
@@ -171,6 +189,15 @@
         message: time("message", default.message),
         write: time("write", default.write),
     };
+    let memory = section.optional("memory", &MEMORY_SIZE);
+    let memory = memory.unwrap_or(DEFAULT_MEMORY);
+    let connections = section.optional("connections", &CONNECTION_COUNT);
+    if memory / MIN_BODIES < limits.body_bytes {
+        let found = format!("{memory} bytes for all callers");
+        let allowed = format!("{MIN_BODIES} times `http.body` or more");
+        source.report(section.offset_of("memory"), "http.memory", found, &allowed);
+    }
     section.check_fields();
-    limits
+    let connections = connections.unwrap_or(DEFAULT_CONNECTIONS);
+    (limits, Capacity::new(memory, connections))
 }
--- a/crates/bluebellpath/src/settings/rule.rs
+++ b/crates/bluebellpath/src/settings/rule.rs
@@ -58,6 +58,21 @@
     parse: |it| size(text(it)?).filter(|it| (1 << 10..=64 << 20).contains(it)),
 };
 
+/// Memory of all callers together, in bytes.
+pub(super) const MEMORY_SIZE: Rule<usize> = Rule {
+    allowed: "a size from \"16 MiB\" to \"65536 MiB\"",
+    parse: |it| size(text(it)?).filter(|it| (16 << 20..=64 << 30).contains(it)),
+};
+
+/// Maximum number of connections.
+pub(super) const CONNECTION_COUNT: Rule<usize> = Rule {
+    allowed: "a whole number from 16 to 1000000",
+    parse: |it| {
+        let number = it.as_number_lit()?.value.parse().ok()?;
+        (16..=1_000_000).contains(&number).then_some(number)
+    },
+};
+
 /// Maximum number of jobs.
 pub(super) const JOB_COUNT: Rule<usize> = Rule {
     allowed: "a whole number from 1 to 1000000",
--- a/crates/bluebellpath/tests/settings.rs
+++ b/crates/bluebellpath/tests/settings.rs
@@ -73,6 +73,27 @@
         allowed: "a size",
         nearest: None,
     },
+    Case {
+        extra: r#""http": { "memory": "15 MiB" }"#,
+        field: "http.memory",
+        found: "\"15 MiB\"",
+        allowed: "a size from \"16 MiB\"",
+        nearest: None,
+    },
+    Case {
+        extra: r#""http": { "body": "8 MiB", "memory": "31 MiB" }"#,
+        field: "http.memory",
+        found: "32505856 bytes for all callers",
+        allowed: "4 times `http.body` or more",
+        nearest: None,
+    },
+    Case {
+        extra: r#""http": { "connections": 0 }"#,
+        field: "http.connections",
+        found: "0",
+        allowed: "a whole number from 16 to 1000000",
+        nearest: None,
+    },
     Case {
         extra: r#""http": { "idel": "1 s" }"#,
         field: "http.idel",
@@ -179,6 +200,8 @@
     assert_eq!(settings.drain.grace, Duration::ZERO);
     assert_eq!(settings.drain.limit, Duration::from_secs(120));
     assert_eq!(settings.http.body_bytes, 2 << 20);
+    assert_eq!(settings.capacity.bytes, 256 << 20);
+    assert_eq!(settings.capacity.connections, 4_096);
     assert_eq!(settings.http.idle, Duration::from_secs(60));
 }
 
--- a/crates/controlbench/src/run.rs
+++ b/crates/controlbench/src/run.rs
@@ -12,7 +12,7 @@
 use bluebellpath::{
     config::{Document, LocalConfig},
     entry::{Config, Dependencies, Entry},
-    http::{Client, ClientConfig, Limits, Server},
+    http::{Budget, Client, ClientConfig, Limits, Server},
     job::Incarnation,
     log,
     peer::{self, Key, Net},
@@ -170,6 +170,7 @@
         target_client: Rc::new(target::Http::new(client)),
         link: Rc::new(net),
         config: Rc::new(LocalConfig::new(1, Document::default())),
+        callers: Budget::unlimited(),
         log: log::discard(),
     };
     let incarnation = Incarnation::new(clock::wall(), u32::from(index));
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -16,6 +16,7 @@
 use bluebellpath::{
     config::{self, Document, LocalConfig, Timing},
     entry::{Config, Dependencies, Entry},
+    http::Budget,
     job::Incarnation,
     log,
     platform::{Instance, Role, State},
@@ -211,6 +212,7 @@
             target_client: Rc::new(self.targets.clone()),
             link: Rc::new(self.network.node(instance.address, scope.clone())),
             config: Rc::new(LocalConfig::empty(self.layout.timing)),
+            callers: Budget::unlimited(),
             log: log::discard(),
         };
         let incarnation = Incarnation::new(clock::wall(), self.starts.get());
