--- a/crates/fleet/src/frontend/mod.rs
+++ b/crates/fleet/src/frontend/mod.rs
@@ -59,6 +59,9 @@
 /// shortest delay after which its caller retries.
 const BLOCK_DURATION: Duration = Duration::from_millis(900);
 
+/// State of a task in progress, in bytes.
+const TASK_BYTES: usize = 2 << 10;
+
 /// Longest wait for the other frontends before a refusal.
 const BLOCK_TIMEOUT: Duration = Duration::from_millis(60);
 
@@ -122,6 +125,23 @@
     pub deadline: Duration,
 }
 
+impl Submission {
+    /// Bytes that the job may hold here until it is answered: the submission, and for
+    /// each task its state and the request that carries the specification.
+    pub fn held_bytes(&self) -> usize {
+        let text = |it: &Option<Rc<str>>| it.as_ref().map_or(0, |it| it.len());
+        let per_step = self.steps.iter().map(|it| {
+            let texts = text(&it.required_label) + text(&it.preferred_rack);
+            let own = size_of::<Step>() + size_of_val(&it.dependencies[..]) + texts;
+            let per_task = TASK_BYTES + self.spec.len() + texts;
+            per_task
+                .saturating_mul(usize::from(it.task_count))
+                .saturating_add(own)
+        });
+        per_step.fold(self.spec.len(), usize::saturating_add)
+    }
+}
+
 /// Answer to a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Answer {
