Charge runs for the callers of peers to the same budget

Cause: an owner holds the specification of each run that a peer sends until the run ends. What the callers of all instances sent could add up at one owner, whose budget knew nothing of it.

A run request of a peer draws a loan from the budget until its reply. Without room the reply is that the run was not started here, as for an owner without a usable target, and the frontend asks another owner or refuses the job.

Evidence: read, not measured; no test has several instances with callers that send that much.

--- a/crates/bluebellpath/src/http/budget.rs
+++ b/crates/bluebellpath/src/http/budget.rs
@@ -103,6 +103,28 @@
         }
     }
 
+    /// Bytes that are held for the callers of another process until the loan is
+    /// dropped, or `None` if there is no room for them.
+    pub async fn lend(&self, bytes: usize) -> Option<Loan> {
+        loop {
+            let released = self.0.released.notified();
+            let mut evicted = Vec::new();
+            let decision = self.0.ledger.borrow_mut().lend(bytes, &mut evicted);
+            self.0.evict(&evicted);
+            match decision {
+                Decision::Granted => {
+                    let shared = self.0.clone();
+                    return Some(Loan { shared, bytes });
+                }
+                Decision::Waiting => released.await,
+                Decision::Refused => {
+                    self.0.refuse("run of a peer");
+                    return None;
+                }
+            }
+        }
+    }
+
     /// Closes a part of the connections, as the process has no descriptor left.
     pub(super) fn shed(&self) {
         let mut evicted = Vec::new();
@@ -144,6 +166,19 @@
     }
 }
 
+/// Part of a budget that is held for the callers of another process.
+pub struct Loan {
+    shared: Rc<Shared>,
+    bytes: usize,
+}
+
+impl Drop for Loan {
+    fn drop(&mut self) {
+        self.shared.ledger.borrow_mut().repay(self.bytes);
+        self.shared.released.notify();
+    }
+}
+
 /// Part of a budget that one connection holds until it is dropped.
 pub struct Account {
     shared: Rc<Shared>,
--- a/crates/bluebellpath/src/http/ledger.rs
+++ b/crates/bluebellpath/src/http/ledger.rs
@@ -274,6 +274,28 @@
         decision
     }
 
+    /// Charges `bytes` that are held for callers of other processes, whose connections
+    /// end there. Nothing evicts them.
+    pub fn lend(&mut self, bytes: usize, evicted: &mut Vec<Eviction>) -> Decision {
+        let is_large = rank(bytes) > 0;
+        let large = self.large_bytes.saturating_add(bytes);
+        if is_large && large > self.capacity.largest_request() {
+            return Decision::Refused;
+        }
+        let decision = self.fit(bytes, 0, None, rank(bytes), evicted);
+        if decision == Decision::Granted {
+            self.bytes += bytes;
+            self.large_bytes += if is_large { bytes } else { 0 };
+        }
+        decision
+    }
+
+    /// Takes back what was lent.
+    pub fn repay(&mut self, bytes: usize) {
+        self.bytes -= bytes;
+        self.large_bytes -= if rank(bytes) > 0 { bytes } else { 0 };
+    }
+
     /// Bytes that a connection is charged with beyond its fixed part.
     pub fn extra(&self, id: Id) -> usize {
         self.entries[id].bytes - self.capacity.connection_bytes
--- a/crates/bluebellpath/src/http/mod.rs
+++ b/crates/bluebellpath/src/http/mod.rs
@@ -24,7 +24,7 @@
 mod reader;
 mod server;
 
-pub use budget::{Account, Budget, Usage};
+pub use budget::{Account, Budget, Loan, Usage};
 pub use client::{Client, Config as ClientConfig};
 pub use error::{Error, Fault, Step};
 pub use limits::Limits;
--- a/crates/fleet/src/messages.rs
+++ b/crates/fleet/src/messages.rs
@@ -90,6 +90,15 @@
     pub front_address: SocketAddr,
 }
 
+impl RunRequest {
+    /// Bytes that the request holds at its owner until it is answered.
+    pub fn held_bytes(&self) -> usize {
+        let text = |it: &Option<Rc<str>>| it.as_ref().map_or(0, |it| it.len());
+        let texts = self.spec.len() + text(&self.constraint) + text(&self.affinity);
+        size_of::<RunRequest>() + texts + size_of_val(&self.eligible_targets[..])
+    }
+}
+
 /// Outcome of a run, as reported to the frontend.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RunOutcome {
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -640,6 +640,14 @@
         drop(spawn(async move { drop(call.await) }));
     }
 
+    /// Reply to a run request for which there is no room. The run never starts here.
+    pub fn reject_run(&self, run_request: &RunRequest) -> Reply {
+        info!(self.log, "run request refused for lack of room"; "task" => %run_request.task,
+            "run" => run_request.run, "bytes" => run_request.held_bytes());
+        let run_outcome = RunOutcome::NotStarted(NotStartedReason::OwnerUnavailable);
+        Reply::Ended(run_outcome, self.scheduler.load())
+    }
+
     /// Handles a request of a peer.
     pub fn handle_request(&self, mut request: Request) -> LocalFuture<'static, Reply> {
         let scheduler = self.scheduler.clone();
