Limit the connections to all targets and the store together

The requests of callers decide how many tasks start at once, and so how many of 2,875 descriptors their starts take; peers and the store then get none.

Evidence: connections_to_all_addresses_are_limited_together; on the code before it would not compile, and eight calls take eight connections.

--- a/crates/bluebellpath/src/http/client.rs
+++ b/crates/bluebellpath/src/http/client.rs
@@ -39,6 +39,9 @@
 };
 use crate::target::{Fence, Open};
 
+/// Connections that each address may have: one for a long poll, one for the rest.
+pub const GUARANTEED: usize = 2;
+
 /// Limits and timeouts of a [`Client`].
 #[derive(Clone, Copy, Debug)]
 pub struct Config {
@@ -48,15 +51,20 @@
     pub connect: Duration,
     /// Connections to one address, where a call sets no other limit.
     pub connections: usize,
+    /// Connections to all addresses together. Each address has [`GUARANTEED`] of its
+    /// own, whatever the others have.
+    pub all_connections: usize,
 }
 
 impl Default for Config {
-    /// Default limits, 1 s to connect, 64 connections for each address.
+    /// Default limits, 1 s to connect, 64 connections for each address, any number for
+    /// all.
     fn default() -> Config {
         Config {
             limits: Limits::default(),
             connect: Duration::from_secs(1),
             connections: 64,
+            all_connections: usize::MAX,
         }
     }
 }
@@ -68,6 +76,8 @@
 struct Shared {
     config: Config,
     pools: RefCell<HashMap<SocketAddr, Rc<Pool>>>,
+    /// Connections to all addresses.
+    open: Rc<Cell<usize>>,
 }
 
 #[derive(Default)]
@@ -105,6 +115,7 @@
         Client(Rc::new(Shared {
             config,
             pools: RefCell::default(),
+            open: Rc::default(),
         }))
     }
 
@@ -163,7 +174,9 @@
                 },
             }
         }
-        if pool.open.get() >= connections {
+        let is_guaranteed = pool.open.get() < GUARANTEED;
+        let all_in_use = self.0.open.get() >= self.0.config.all_connections;
+        if pool.open.get() >= connections || (all_in_use && !is_guaranteed) {
             return Err(unsent(Fault::Connections));
         }
         let connection = self.connect(peer, pool).await.map_err(unsent)?;
@@ -187,7 +200,7 @@
     }
 
     async fn connect(&self, peer: SocketAddr, pool: Rc<Pool>) -> Result<Calls, Fault> {
-        let slot = Slot::new(pool);
+        let slot = Slot::new(pool, self.0.open.clone());
         let connect = TcpStream::connect_addr(peer);
         let connected = clock::timeout(self.0.config.connect, connect).await;
         let fault = |it: std::io::Error| match it.kind() {
@@ -223,18 +236,23 @@
 }
 
 /// Counts a connection while it lives.
-struct Slot(Rc<Pool>);
+struct Slot {
+    pool: Rc<Pool>,
+    all: Rc<Cell<usize>>,
+}
 
 impl Slot {
-    fn new(pool: Rc<Pool>) -> Slot {
+    fn new(pool: Rc<Pool>, all: Rc<Cell<usize>>) -> Slot {
         pool.open.set(pool.open.get() + 1);
-        Slot(pool)
+        all.set(all.get() + 1);
+        Slot { pool, all }
     }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
+        self.pool.open.set(self.pool.open.get() - 1);
+        self.all.set(self.all.get() - 1);
     }
 }
 
@@ -275,13 +293,13 @@
             let result = self.exchange(request, fence.as_ref(), timeout).await;
             let keep = result.as_ref().is_ok_and(|(_, keep)| *keep);
             if keep {
-                slot.0.idle.borrow_mut().push(Idle {
+                slot.pool.idle.borrow_mut().push(Idle {
                     calls: own.clone(),
                     since: clock::now(),
                 });
             }
             if matches!(&result, Err(it) if it.sent && it.fault == Fault::TimedOut) {
-                slot.0.close_older(sent);
+                slot.pool.close_older(sent);
             }
             // The caller may have stopped waiting.
             let _ = reply.send(result.map(|(response, _)| response));
--- a/crates/bluebellpath/src/http/mod.rs
+++ b/crates/bluebellpath/src/http/mod.rs
@@ -25,7 +25,7 @@
 mod server;
 
 pub use budget::{Account, Budget, Loan, Usage};
-pub use client::{Client, Config as ClientConfig};
+pub use client::{Client, Config as ClientConfig, GUARANTEED};
 pub use error::{Error, Fault, Step};
 pub use limits::Limits;
 pub use message::{Request, Response};
--- a/crates/bluebellpath/tests/http_client.rs
+++ b/crates/bluebellpath/tests/http_client.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use bluebellpath::http::{Client, ClientConfig, Fault, Request, Step};
+use bluebellpath::http::{Client, ClientConfig, Fault, GUARANTEED, Request, Step};
 use bluebellpath_runtime::{clock, runtime};
 use futures_util::future::join_all;
 use http::Method;
@@ -119,3 +119,32 @@
         call().await.expect("a fresh connection");
     });
 }
+
+/// Guards against calls that take the descriptors of others: requests of callers decide
+/// how many calls there are at once.
+#[test]
+fn connections_to_all_addresses_are_limited_together() {
+    runtime::block_on(async {
+        let client = Client::new(ClientConfig {
+            all_connections: 5,
+            ..ClientConfig::default()
+        });
+        let never = Arc::new(AtomicBool::new(false));
+        let timeout = Duration::from_secs(1);
+        let call = |server| client.send(server, Request::new(Method::GET, "/"), timeout);
+        let (busy, other) = (muting(&never), muting(&never));
+        let busy_calls = join_all((0..8).map(|_| call(busy)));
+        // The other address has its guaranteed connections all the same.
+        let other_calls = join_all((0..3).map(|_| call(other)));
+        let (busy, other) = futures_util::future::join(busy_calls, other_calls).await;
+        for (answers, served) in [(busy, 5), (other, GUARANTEED)] {
+            let (answered, refused): (Vec<_>, Vec<_>) =
+                answers.into_iter().partition(Result::is_ok);
+            assert_eq!(answered.len(), served);
+            for answer in refused {
+                let error = answer.expect_err("refused");
+                assert_eq!((error.fault, error.sent), (Fault::Connections, false));
+            }
+        }
+    });
+}
