Promise "never runs" only of jobs of which no attempt runs

Cause: a connection that was evicted, or had no room, got 503 before anything was known of its job. If the caller sends a job again because its connection broke, the first attempt may still run.

A whole job that does not fit is refused by the frontend, which first asks its peers as for every refusal, and answers 504 if a task may have run. Before the job is known there is no 503: a connection without room is closed, an idle one or an unfinished head gets 408 as after an idle time, a body 413 with Retry-After.

--- a/crates/bluebellpath/src/http/error.rs
+++ b/crates/bluebellpath/src/http/error.rs
@@ -44,7 +44,7 @@
     #[display("malformed message")]
     Malformed,
     /// Callers hold all that they may.
-    #[display("no room for the request")]
+    #[display("no room for the request now")]
     NoRoom,
     /// All connections that the other side allows are in use.
     #[display("no connection free")]
--- a/crates/bluebellpath/src/http/server.rs
+++ b/crates/bluebellpath/src/http/server.rs
@@ -40,7 +40,7 @@
 /// close, several times the way from a caller.
 const LAST_CALL: Duration = Duration::from_millis(100);
 
-/// Seconds after which a caller may return for whom there was no room.
+/// Seconds after which a caller may send a body again for which there was no room.
 const RETRY_AFTER_S: u64 = 1;
 
 /// Answers requests.
@@ -178,17 +178,11 @@
         }
     }
 
-    /// Serves a connection, or refuses it if there is no room.
-    async fn welcome(&self, mut stream: TcpStream) {
-        let shared = &self.shared;
-        match shared.budget.admit().await {
-            Some(account) => drop(spawn(serve(stream, account, shared.clone()))),
-            None => {
-                let response = refusal(shared, Fault::NoRoom, StatusCode::SERVICE_UNAVAILABLE);
-                // Nothing is in the way of a first small answer.
-                let sent = send(&mut stream, response, false);
-                clock::timeout(ACCEPT_PAUSE, sent).await;
-            }
+    /// Serves a connection, or closes it if there is no room. An answer would be taken
+    /// for one to a request of which nothing is known.
+    async fn welcome(&self, stream: TcpStream) {
+        if let Some(account) = self.shared.budget.admit().await {
+            drop(spawn(serve(stream, account, self.shared.clone())));
         }
     }
 }
@@ -250,19 +244,18 @@
     account: &Rc<Account>,
     shared: &Shared,
 ) -> Exchange {
-    match account.unless_evicted(wait(reader, shared)).await {
-        Some(Wait::Request) => {}
+    let waited = account.unless_evicted(wait(reader, shared)).await;
+    match waited.unwrap_or(Wait::Idle) {
+        Wait::Request => {}
         // A request may be under way; the answer says that it was not run, which
         // stays true because nothing more is read.
-        Some(Wait::Idle) => return Exchange::Failed(Fault::TimedOut),
-        Some(Wait::Gone) => return Exchange::Gone,
-        None => return Exchange::Failed(Fault::NoRoom),
+        Wait::Idle => return Exchange::Failed(Fault::TimedOut),
+        Wait::Gone => return Exchange::Gone,
     }
     account.enter(Phase::Receiving);
-    let received = receive(reader, write, &shared.limits);
-    let received = account.unless_evicted(received).await;
+    let received = receive(reader, write, account, &shared.limits).await;
     reader.release();
-    let (mut request, keep) = match received.unwrap_or(Err(Fault::NoRoom)) {
+    let (mut request, keep) = match received {
         Ok(received) => received,
         Err(fault) => return Exchange::Failed(fault),
     };
@@ -305,7 +298,7 @@
     linger(reader, write, &shared.limits).await;
 }
 
-/// Answer to input that is no valid request, or for which there is no room.
+/// Answer to input that is no valid request, or to a body for which there is no room.
 fn refusal(shared: &Shared, fault: Fault, status: StatusCode) -> Response {
     let response = shared.service.malformed(status, fault);
     match fault {
@@ -388,9 +381,15 @@
 async fn receive(
     reader: &mut Reader<TcpOwnedReadHalf>,
     write: &mut impl AsyncWriteRent,
+    account: &Account,
     limits: &Limits,
 ) -> Result<(Request, bool), Fault> {
-    let head = reader.request_head(limits).await?;
+    let head = account.unless_evicted(reader.request_head(limits)).await;
+    let head = match head.unwrap_or(Err(Fault::NoRoom)) {
+        // What is still missing of it is not waited for any longer.
+        Err(Fault::NoRoom) => return Err(Fault::TimedOut),
+        head => head?,
+    };
     // Tested before the go-ahead, so that nobody sends a body in vain.
     let length = declared(&head.headers, limits)?;
     if expects_continue(&head.headers) {
@@ -400,7 +399,9 @@
             .ok_or(Fault::TimedOut)?;
         result.map_err(|_| Fault::Io)?;
     }
-    let body = reader.body(length, limits, limits.message).await?;
+    let body = reader.body(length, limits, limits.message);
+    let body = account.unless_evicted(body).await;
+    let body = body.unwrap_or(Err(Fault::NoRoom))?;
     let keep = keeps_alive(head.version, &head.headers);
     let request = Request {
         method: head.method,
@@ -436,7 +437,8 @@
         Fault::HeadTooLarge => Some(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE),
         Fault::BodyTooLarge => Some(StatusCode::PAYLOAD_TOO_LARGE),
         Fault::Malformed => Some(StatusCode::BAD_REQUEST),
-        Fault::NoRoom => Some(StatusCode::SERVICE_UNAVAILABLE),
+        // A 503 would promise that the job never runs, and an earlier attempt may.
+        Fault::NoRoom => Some(StatusCode::PAYLOAD_TOO_LARGE),
         Fault::Closed | Fault::Refused | Fault::Io | Fault::Connections | Fault::Lapsed => None,
     }
 }
--- a/crates/fleet/src/frontend/mod.rs
+++ b/crates/fleet/src/frontend/mod.rs
@@ -59,6 +59,9 @@
 /// shortest delay after which its caller retries.
 const BLOCK_DURATION: Duration = Duration::from_millis(900);
 
+/// Time after which a caller may retry a job for which there was no room.
+const NO_ROOM_DELAY: Duration = Duration::from_secs(1);
+
 /// State of a task in progress, in bytes.
 const TASK_BYTES: usize = 2 << 10;
 
@@ -259,6 +262,19 @@
         self.0.closing.notify();
     }
 
+    /// Refuses a job for which there is no room. The answer is another one if one of its
+    /// tasks may have run, here or elsewhere.
+    pub async fn refuse(&self, job: JobId) -> Answer {
+        let shared = &self.0;
+        let in_progress = shared.jobs.borrow().contains_key(&job);
+        let answer = match in_progress {
+            true => Answer::Unknown,
+            false => shared.refuse(job, NO_ROOM_DELAY).await,
+        };
+        info!(shared.log, "job refused for lack of room"; "job" => %job, "answer" => ?answer);
+        answer
+    }
+
     /// Runs a job. Dropping the future stops its tasks.
     pub async fn submit(&self, submission: Submission) -> Answer {
         let shared = &self.0;
@@ -275,9 +291,8 @@
         let guard = JobGuard::new(shared, job, submission.queue.clone());
         let mut answer = shared.process(&submission, received_at).await;
         drop(guard);
-        if matches!(answer, Answer::Refused(_)) && !shared.block_elsewhere(job).await {
-            info!(shared.log, "job has started at a peer"; "job" => %job);
-            answer = Answer::Unknown;
+        if let Answer::Refused(retry) = answer {
+            answer = shared.refuse(job, retry).await;
         }
         let took = clock::now() - received_at;
         info!(shared.log, "job answered"; "job" => %job, "answer" => ?answer,
@@ -331,6 +346,17 @@
 }
 
 impl Shared {
+    /// Refusal of a job, unless one of its tasks may have run.
+    async fn refuse(&self, job: JobId, retry: Duration) -> Answer {
+        match self.block_elsewhere(job).await {
+            true => Answer::Refused(retry),
+            false => {
+                info!(self.log, "job has started at a peer"; "job" => %job);
+                Answer::Unknown
+            }
+        }
+    }
+
     /// Asks the other frontends that the caller may reach to reject a job that
     /// is refused here. Returns false if one of its tasks may have run.
     ///
