Give the callers of peers a budget of their own

Cause: runs for callers of peers drew on the budget of the own callers. A crowd whose jobs hold all of that would have taken this owner's targets from callers of all other instances.

They have an eighth of the memory to themselves.

--- a/crates/bluebellpath/src/http/ledger.rs
+++ b/crates/bluebellpath/src/http/ledger.rs
@@ -40,6 +40,9 @@
 /// the allocator's.
 const MEMORY_DIVISOR: usize = 3;
 
+/// Part of the memory of a process that callers of its peers may hold.
+const PEER_MEMORY_DIVISOR: usize = 8;
+
 /// Part of the descriptors of a process that its callers may hold. The rest is for
 /// peers, targets and the platform.
 const DESCRIPTOR_DIVISOR: usize = 2;
@@ -90,6 +93,16 @@
         Capacity::new(memory / MEMORY_DIVISOR, descriptors / DESCRIPTOR_DIVISOR)
     }
 
+    /// Capacity for what a process of so much memory holds for callers of its peers,
+    /// which its own callers do not share.
+    pub fn for_peers(memory: usize) -> Capacity {
+        Capacity {
+            bytes: memory / PEER_MEMORY_DIVISOR,
+            connections: 0,
+            connection_bytes: 0,
+        }
+    }
+
     /// Capacity for probes of a process, which callers do not share.
     pub fn for_probes() -> Capacity {
         let bytes = PROBE_CONNECTIONS * (CONNECTION_BYTES + SMALL_BYTES);
