--- a/review/lib-3/bench3.py
+++ b/review/lib-3/bench3.py
@@ -368,6 +368,7 @@
         self.record = record
         self.running = {}
         self.starts = []
+        self.ends = {}
 
     def started(self, worker, key):
         others = self.running.setdefault(key[0], {})
@@ -381,6 +382,7 @@
 
     def ended(self, worker, key, how):
         self.running.get(key[0], {}).pop((key[1], worker.name), None)
+        self.ends[(key, worker.name)] = self.record.now()
 
 
 # Processes ----------------------------------------------------------------------------
