review: end the processes of a script with the script

Cause: instances outlived a script that was killed. Change: each instance gets SIGKILL when its parent ends.

--- a/review/12/case.py
+++ b/review/12/case.py
@@ -6,6 +6,8 @@
 import signal
 import sys
 
+sys.dont_write_bytecode = True
+
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "lib-3"))
 import bench3  # noqa: E402
--- a/review/lib-3/bench3.py
+++ b/review/lib-3/bench3.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import ctypes
 import json
 import os
 import random
@@ -404,6 +405,14 @@
     raise OSError("no free loopback addresses")
 
 
+PR_SET_PDEATHSIG = 1
+
+
+def end_with_parent():
+    """Lets a new process end when this one does, however that happens."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Instance:
     def __init__(self, deployment, number, zone):
         self.deployment, self.zone = deployment, zone
@@ -481,6 +490,7 @@
         self.process = await asyncio.create_subprocess_exec(
             os.path.join(ROOT, program), *arguments,
             cwd=ROOT, env=environment, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
+            preexec_fn=end_with_parent,
         )
         log.close()
         self.deployment.record.note(f"process {self.name} starts")
