Detect suspensions of the process in one place

Cause: four places guessed at a suspension, with three thresholds and one or two clocks each. Two of them, the scheduler's and the takeover's, disagreed at the first tick after a wake. No log line said that a process had stood still. Change: bluebellpath_runtime::suspension::Detector, by either clock, asked by the membership, the takeover limits and the instance that forwards requests. An instance logs each suspension with the jobs and tasks that it has.

--- a/crates/bluebellpath/src/entry/state.rs
+++ b/crates/bluebellpath/src/entry/state.rs
@@ -7,7 +7,7 @@
 };
 
 use bluebellpath_dispatch::{Dispatcher, TargetId};
-use bluebellpath_runtime::{Instant, Notify, clock};
+use bluebellpath_runtime::{Instant, Notify, clock, suspension::Detector};
 
 use super::{
     Config, Dependencies, InjectedFault,
@@ -15,7 +15,6 @@
     credit::{self, Credit},
     interner::Interner,
     jobs::Jobs,
-    stall::StallDetector,
 };
 use crate::{
     admin::Outcomes,
@@ -58,7 +57,7 @@
     /// Lifecycle phase, which peers and load balancers see.
     pub(super) phase: Cell<Phase>,
     pub(super) meters: Meters,
-    pub(super) stall_detector: StallDetector,
+    pub(super) suspensions: Detector,
     rotation: Cell<usize>,
 }
 
@@ -104,7 +103,7 @@
             target_ids: Interner::default(),
             phase: Cell::new(Phase::Serving),
             meters: Meters::default(),
-            stall_detector: StallDetector::new(),
+            suspensions: Detector::new(),
             rotation: Cell::new(0),
             config,
             deps,
--- a/crates/bluebellpath/src/entry/submit.rs
+++ b/crates/bluebellpath/src/entry/submit.rs
@@ -10,6 +10,7 @@
     forward::{self, ForwardResult},
     home::{self, HomeResult},
     route::{self, Route},
+    stall,
     state::State,
     untracked, validate,
 };
@@ -61,7 +62,7 @@
     validate::validate(&submission)?;
     // A request that was received before a stall may be old: the sender may have
     // forwarded it to another instance, and it may have been answered as not run.
-    if transit.is_forwarded() && state.stall_detector.stalled_recently() {
+    if transit.is_forwarded() && stall::stalled_recently(&state.suspensions) {
         return Ok(None);
     }
     let arrived = clock::now();
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -18,7 +18,7 @@
     time::Duration,
 };
 
-use bluebellpath_runtime::{Instant, LocalFuture, Notify, clock};
+use bluebellpath_runtime::{Instant, LocalFuture, Notify, clock, suspension::Detector};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -30,7 +30,7 @@
     messages::{ClockReading, Load, RunOutcome, RunRequest},
     orphans,
     ownership::{Assignment, Candidate},
-    takeover::{Hearing, STALL_THRESHOLD, Streak},
+    takeover::{Hearing, Streak},
     target_list::Delta,
 };
 
@@ -216,10 +216,8 @@
     domain: Rc<str>,
     addresses: RefCell<BTreeMap<SocketAddr, Instant>>,
     peers: RefCell<BTreeMap<Rc<str>, Peer>>,
-    /// Time of the last check for silent peers.
-    checked_at: Cell<Instant>,
-    /// Time since which this process has run without a stall.
-    running_since: Cell<Instant>,
+    /// Suspensions of this process.
+    suspensions: Rc<Detector>,
     /// Time since which all peers have been heard that may take targets of the own
     /// domain over.
     heard: Cell<Streak>,
@@ -235,8 +233,7 @@
             domain,
             addresses: RefCell::default(),
             peers: RefCell::default(),
-            checked_at: Cell::new(clock::now()),
-            running_since: Cell::new(clock::now()),
+            suspensions: Rc::default(),
             heard: Cell::default(),
             peer_lost: Notify::new(),
         }
@@ -361,12 +358,10 @@
     /// times a second.
     pub fn expire_silent_peers(&self) -> Vec<Change> {
         let now = clock::now();
-        if now - self.checked_at.replace(now) > STALL_THRESHOLD {
-            self.running_since.set(now);
-        }
+        let running_since = self.suspensions.running_since();
         let mut changes = Vec::new();
         for (name, peer) in self.peers.borrow_mut().iter_mut() {
-            let silent_since = peer.received_at.max(self.running_since.get());
+            let silent_since = peer.received_at.max(running_since);
             if peer.alive && now - silent_since > self.failure_timeout(&peer.heartbeat) {
                 peer.alive = false;
                 changes.push(Change::Lost(name.clone(), peer.heartbeat.address));
@@ -378,17 +373,22 @@
         changes
     }
 
+    /// Returns the suspensions of this process.
+    pub fn suspensions(&self) -> &Detector {
+        &self.suspensions
+    }
+
     /// Returns what is known of the peers that may take targets of the own domain over.
     /// Must be called several times a second.
     pub fn hearing(&self) -> Hearing {
         let mut heard = self.heard.get();
-        let heard_since = heard.check(self.hears_own_domain(), clock::now());
+        let running_since = self.suspensions.running_since();
+        let heard_since = heard.check(self.hears_own_domain(), clock::now(), running_since);
         self.heard.set(heard);
         Hearing {
             domain: self.domain.clone(),
             heard_since,
-            running_since: self.running_since.get(),
-            checked_at: ClockReading::now(),
+            suspensions: Rc::clone(&self.suspensions),
         }
     }
 
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -16,7 +16,7 @@
     time::Duration,
 };
 
-use bluebellpath_runtime::{Instant, LocalFuture, Notify, clock, spawn};
+use bluebellpath_runtime::{Instant, LocalFuture, Notify, clock, spawn, suspension::Suspension};
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use slog::{Logger, info, warn};
 
@@ -125,6 +125,8 @@
     heartbeats_due: Cell<bool>,
     /// True while the next tick is to compute which targets to own.
     ownership_due: Cell<bool>,
+    /// Last suspension of the process that was logged.
+    logged_suspension: Cell<Option<Suspension>>,
     leaving: Cell<bool>,
     started_at: Instant,
     /// True once [`STARTUP_GRACE`] has passed.
@@ -198,6 +200,7 @@
             heartbeat_sequence: Cell::new(0),
             heartbeats_due: Cell::new(false),
             ownership_due: Cell::new(false),
+            logged_suspension: Cell::default(),
             leaving: Cell::new(false),
             started_at: clock::now(),
             startup_grace_over: Cell::new(false),
@@ -417,6 +420,7 @@
         drop(spawn(async move {
             loop {
                 clock::sleep(TICK_INTERVAL).await;
+                node.log_suspension();
                 let changes = node.membership.expire_silent_peers();
                 node.scheduler.set_hearing(node.membership.hearing());
                 node.handle_changes(changes);
@@ -906,6 +910,16 @@
         self.release_inactive();
     }
 
+    fn log_suspension(&self) {
+        let last = self.membership.suspensions().last();
+        if let Some(suspension) = last.filter(|_| last != self.logged_suspension.replace(last)) {
+            warn!(self.log, "process was suspended";
+                "suspended_ms" => suspension.duration.as_millis(),
+                "jobs" => self.frontend.open_jobs(),
+                "tasks_waiting" => self.scheduler.task_counts().1);
+        }
+    }
+
     fn heartbeat(&self) -> Heartbeat {
         let sequence = self.heartbeat_sequence.get() + 1;
         self.heartbeat_sequence.set(sequence);
--- a/crates/fleet/src/takeover.rs
+++ b/crates/fleet/src/takeover.rs
@@ -11,13 +11,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use bluebellpath_runtime::Instant;
-
-use crate::messages::ClockReading;
-
-/// Time between two checks after which the process must have been suspended or
-/// starved.
-pub const STALL_THRESHOLD: Duration = Duration::from_millis(200);
+use bluebellpath_runtime::{Instant, suspension::Detector};
 
 /// Time in which a new owner stops a run after its claim deadline.
 pub const STOP_ALLOWANCE: Duration = Duration::from_millis(150);
@@ -26,16 +20,13 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Streak {
     since: Option<Instant>,
-    checked_at: Option<ClockReading>,
 }
 
 impl Streak {
-    /// Records a check, and returns the start of the streak. It starts over if
-    /// [`STALL_THRESHOLD`] has passed since the last check, on either clock.
-    pub fn check(&mut self, holds: bool, now: Instant) -> Option<Instant> {
-        let last = self.checked_at.replace(ClockReading::now());
-        let stalled = last.is_none_or(|it| it.is_older_than(STALL_THRESHOLD));
-        if stalled || !holds {
+    /// Records a check, and returns the start of the streak. It starts over if the
+    /// process was suspended, which runs since `running_since`.
+    pub fn check(&mut self, holds: bool, now: Instant, running_since: Instant) -> Option<Instant> {
+        if !holds || self.since.is_some_and(|it| it < running_since) {
             self.since = None;
         }
         if holds {
@@ -52,10 +43,8 @@
     pub domain: Rc<str>,
     /// Time since which all of them have been heard.
     pub heard_since: Option<Instant>,
-    /// Time since which the process has not been suspended.
-    pub running_since: Instant,
-    /// Clocks at the last check.
-    pub checked_at: ClockReading,
+    /// Suspensions of the process.
+    pub suspensions: Rc<Detector>,
 }
 
 /// Timing of the owners.
@@ -77,17 +66,18 @@
         domain: &str,
         confirmed_at: Instant,
     ) -> Duration {
-        let hearing = hearing.filter(|it| !it.checked_at.is_older_than(STALL_THRESHOLD));
+        let running_since = hearing.map(|it| it.suspensions.running_since());
         let heard_since = hearing.filter(|it| *it.domain == *domain);
         let heard_since = heard_since.and_then(|it| it.heard_since);
-        if heard_since.is_some_and(|it| it <= confirmed_at) {
+        let was_suspended = heard_since < running_since;
+        if !was_suspended && heard_since.is_some_and(|it| it <= confirmed_at) {
             return Duration::ZERO;
         }
         let stop_time = self.claim_timeout + STOP_ALLOWANCE;
         // The next owner may itself have lost the target before it stopped the runs. An
         // owner that is at work learns of its successor at its next poll, and so has
         // granted a lease about as long.
-        match hearing.is_some_and(|it| it.running_since <= confirmed_at) {
+        match running_since.is_some_and(|it| it <= confirmed_at) {
             true => stop_time,
             false => stop_time + self.lease,
         }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod notify;
 pub mod runtime;
 pub mod scope;
+pub mod suspension;
 
 pub use clock::Instant;
 pub use notify::Notify;
