End the permission to start a run by the owner's own clocks

Callers: a task ran in two places at once after an instance had stood still. It waited there for a better target; its frontend gave the run up and ran the task again; the instance started run 1 in the first millisecond after it went on. The same with the instance's own caller, who had left and sent the job again. Cause: the right to start a waiting task had no end at its owner. The owner relied on hearing of it, and after a suspension its timers fire before it reads anything. The scheduler's guard skipped starts until the first tick, which itself started them. Nothing else stands in the way where no other instance takes targets over: with one live domain left, a silent domain's targets have no next owner. Ruled out: a stale request (it was read before the suspension), a start that was put back (no refusal in the log). The log shows the end of the wait and the start at the wake, before "peer is gone" and before the first answer of a target. Frontends name such a moment on the owner's clocks, in run requests, claims and probes: a reading that they received, and the time since. For callers it is the time up to which everything that had arrived was read. The permission is tested where tasks are started, whatever the way there, and bounds the lease of the order and each renewal. A frontend sends no run before it has read its callers' connections. Messages between builds with and without this are told apart by their version.

--- a/crates/bluebellpath/src/entry/peer_handler.rs
+++ b/crates/bluebellpath/src/entry/peer_handler.rs
@@ -2,6 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use bluebellpath_fleet::permission::Contact;
 use bluebellpath_runtime::LocalFuture;
 
 use super::{
@@ -19,7 +20,7 @@
 pub(super) struct PeerHandler(pub(super) Entry);
 
 impl Handler for PeerHandler {
-    fn handle(&self, request: Request) -> LocalFuture<'static, Reply> {
+    fn handle(&self, request: Request, _: &Contact) -> LocalFuture<'static, Reply> {
         let state = self.0.0.clone();
         Box::pin(async move {
             match request {
--- a/crates/bluebellpath/src/peer/link.rs
+++ b/crates/bluebellpath/src/peer/link.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use bluebellpath_fleet::permission::Contact;
 use bluebellpath_runtime::LocalFuture;
 use derive_more::{Display, Error};
 
@@ -57,8 +58,8 @@
 
 /// Serves requests of peers.
 pub trait Handler {
-    /// Handles one request.
-    fn handle(&self, request: Request) -> LocalFuture<'static, Reply>;
+    /// Handles one request, which came on a connection with `contact`.
+    fn handle(&self, request: Request, contact: &Contact) -> LocalFuture<'static, Reply>;
 }
 
 /// Network between entry instances.
--- a/crates/bluebellpath/src/peer/mod.rs
+++ b/crates/bluebellpath/src/peer/mod.rs
@@ -28,6 +28,7 @@
 pub mod state;
 mod traffic;
 
+pub use bluebellpath_fleet::permission::Contact;
 pub use config::Config;
 pub use heartbeat::{Heartbeat, Load, Phase, Source, Suspect};
 pub use identity::{Identity, Peer};
--- a/crates/bluebellpath/src/peer/net/incoming.rs
+++ b/crates/bluebellpath/src/peer/net/incoming.rs
@@ -2,6 +2,7 @@
 
 use std::{cell::Cell, pin::pin, rc::Rc};
 
+use bluebellpath_fleet::{messages::ClockReading, permission::Contact};
 use bluebellpath_runtime::{Instant, Notify, clock, spawn};
 use futures_channel::mpsc;
 use futures_util::{
@@ -61,6 +62,7 @@
     let (replies, mut replied) = mpsc::unbounded::<ServerMessage>();
     let running: Rc<Cell<usize>> = Rc::default();
     let activity = Activity::default();
+    let contact = Contact::default();
     let end_notifier = EndNotifier::default();
     let reading = async {
         loop {
@@ -68,9 +70,11 @@
             activity.last_received.set(clock::now());
             let (number, request) = match message {
                 Ok(CallerMessage::Call(number, request)) => (number, request),
-                Ok(CallerMessage::Probe) => {
+                Ok(CallerMessage::Probe(clocks)) => {
+                    contact.confirm(clocks);
+                    let alive = ServerMessage::Alive(ClockReading::now());
                     // The connection may have ended meanwhile.
-                    let _ = replies.unbounded_send(ServerMessage::Alive);
+                    let _ = replies.unbounded_send(alive);
                     continue;
                 }
                 // Calls are still running, so the connection is not idle.
@@ -83,10 +87,10 @@
             let guard = CountGuard::new(running.clone());
             activity.received.notify();
             let (handler, replies) = (handler.clone(), replies.clone());
-            let ended = end_notifier.0.clone();
+            let (ended, contact) = (end_notifier.0.clone(), contact.clone());
             drop(spawn(async move {
                 let ends_with_sender = request.ends_with_sender();
-                let handling = handler.handle(request);
+                let handling = handler.handle(request, &contact);
                 let reply = match ends_with_sender {
                     true => match select(handling, pin!(ended.notified())).await {
                         Either::Left((reply, _)) => reply,
--- a/crates/bluebellpath/src/peer/net/outgoing.rs
+++ b/crates/bluebellpath/src/peer/net/outgoing.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+use bluebellpath_fleet::messages::ClockReading;
 use bluebellpath_runtime::{Instant, Notify, clock, spawn};
 use futures_channel::{mpsc, oneshot};
 use futures_util::{
@@ -131,8 +132,6 @@
     pending: &Pending,
 ) -> wire::Fault {
     let (probe_sender, probe_requests) = mpsc::unbounded();
-    let probe = wire::encode(&CallerMessage::Probe, config.message_bytes);
-    let probe = probe.unwrap_or_default();
     let (read, write) = stream.into_split();
     let mut writer = Writer::new(write, session, Side::Caller, config.message);
     let limits = (config.message, config.message_bytes);
@@ -144,9 +143,14 @@
         while let Some(item) = outgoing.next().await {
             let message = match item {
                 Some(call) => pending.add(call),
-                None => probe.clone(),
+                None => {
+                    let probe = CallerMessage::Probe(pending.server_clocks());
+                    match wire::encode(&probe, config.message_bytes) {
+                        Ok(probe) => probe,
+                        Err(fault) => return fault,
+                    }
+                }
             };
-            pending.last_sent.set(clock::now());
             if let Err(fault) = writer.write(message).await {
                 return fault;
             }
@@ -159,7 +163,9 @@
             pending.last_received.set(clock::now());
             match message {
                 Ok(ServerMessage::Reply(number, reply)) => pending.answer(number, reply),
-                Ok(ServerMessage::Alive) => {}
+                Ok(ServerMessage::Alive(clocks)) => {
+                    pending.alive.set(Some((clocks, clock::now())));
+                }
                 Err(fault) => return fault,
             }
         }
@@ -184,8 +190,8 @@
 /// received for [`Config::silence`].
 ///
 /// A connection may fail without being closed while the peer is still alive and
-/// its heartbeats arrive. A message is also sent at least once per
-/// [`Config::silence`], by which the server knows that the caller still waits.
+/// its heartbeats arrive. A probe is also sent at least once per twice
+/// [`Config::probe`], by which the server knows that the caller still waits.
 async fn wait_until_silent(
     pending: &Pending,
     config: &Config,
@@ -198,12 +204,12 @@
             continue;
         }
         let since = pending.silent_since();
-        let probe_at = (since + config.probe).min(pending.last_sent.get() + config.silence);
+        let probe_at = (since + config.probe).min(pending.last_probe.get() + config.probe * 2);
         if clock::now() < probe_at {
             clock::sleep_until(probe_at).await;
             continue;
         }
-        pending.last_sent.set(clock::now());
+        pending.last_probe.set(clock::now());
         // The writing half may already have ended.
         let _ = probe_sender.unbounded_send(());
         if clock::now() < since + config.probe {
@@ -233,8 +239,10 @@
     next_number: Cell<u64>,
     /// Time at which the last message was received.
     last_received: Cell<Instant>,
-    /// Time at which the last message was sent.
-    last_sent: Cell<Instant>,
+    /// Time at which the last probe was sent.
+    last_probe: Cell<Instant>,
+    /// Clocks of the server in the last reply to a probe, and when it was received.
+    alive: Cell<Option<(ClockReading, Instant)>>,
     /// Time at which the first call was added to an empty set of pending calls.
     pending_since: Cell<Instant>,
     call_added: Notify,
@@ -255,6 +263,14 @@
         wire::encode_call(number, &call.request)
     }
 
+    /// Least that the clocks of the server can show now.
+    fn server_clocks(&self) -> ClockReading {
+        let alive = self.alive.get();
+        alive.map_or_else(ClockReading::default, |(clocks, received_at)| {
+            clocks.after(clock::now() - received_at)
+        })
+    }
+
     /// Start of the current silence while calls are pending.
     fn silent_since(&self) -> Instant {
         self.last_received.get().max(self.pending_since.get())
--- a/crates/bluebellpath/src/peer/net/wire.rs
+++ b/crates/bluebellpath/src/peer/net/wire.rs
@@ -11,6 +11,7 @@
 
 use std::time::Duration;
 
+use bluebellpath_fleet::messages::ClockReading;
 use bluebellpath_runtime::clock;
 use derive_more::{Display, Error};
 use monoio::{
@@ -26,7 +27,7 @@
 };
 
 /// Protocol version of the messages of this build.
-const VERSION: u8 = 5;
+const VERSION: u8 = 6;
 
 /// Size in bytes of the nonce of one side.
 const NONCE_BYTES: usize = 16;
@@ -65,8 +66,9 @@
 pub(super) enum CallerMessage {
     /// Call with its number. The caller encodes it with [`encode_call`].
     Call(u64, Request),
-    /// Asks for [`ServerMessage::Alive`].
-    Probe,
+    /// Asks for [`ServerMessage::Alive`]. Tells the least that the server's clocks can
+    /// show now.
+    Probe(ClockReading),
 }
 
 /// Message of the serving side.
@@ -74,8 +76,8 @@
 pub(super) enum ServerMessage {
     /// Reply to the call with that number.
     Reply(u64, Reply),
-    /// Reply to a probe.
-    Alive,
+    /// Reply to a probe, with the server's clocks.
+    Alive(ClockReading),
 }
 
 /// Encodes a [`CallerMessage::Call`] of an encoded request.
--- a/crates/bluebellpath/tests/peer_net.rs
+++ b/crates/bluebellpath/tests/peer_net.rs
@@ -14,7 +14,7 @@
 
 use bluebellpath::{
     job::{Id, Ticket},
-    peer::{Fault, Handler, Key, Link, Net, Reply, Request, Step, net},
+    peer::{Contact, Fault, Handler, Key, Link, Net, Reply, Request, Step, net},
 };
 use bluebellpath_fleet::{JobId, membership};
 use bluebellpath_runtime::{LocalFuture, Scope, clock, runtime, spawn};
@@ -42,7 +42,7 @@
 }
 
 impl Handler for Delays {
-    fn handle(&self, request: Request) -> LocalFuture<'static, Reply> {
+    fn handle(&self, request: Request, _: &Contact) -> LocalFuture<'static, Reply> {
         let Request::Fetch { id, .. } = request else {
             return Box::pin(async { Reply::NotOwner });
         };
@@ -222,7 +222,7 @@
 }
 
 impl Handler for Endless {
-    fn handle(&self, _: Request) -> LocalFuture<'static, Reply> {
+    fn handle(&self, _: Request, _: &Contact) -> LocalFuture<'static, Reply> {
         struct Guard(Rc<Cell<bool>>);
         impl Drop for Guard {
             fn drop(&mut self) {
@@ -299,6 +299,60 @@
     });
 }
 
+/// Keeps the contact of the last connection with a call, and never answers.
+#[derive(Default)]
+struct Watcher {
+    contact: Rc<RefCell<Option<Contact>>>,
+}
+
+impl Handler for Watcher {
+    fn handle(&self, _: Request, contact: &Contact) -> LocalFuture<'static, Reply> {
+        self.contact.replace(Some(contact.clone()));
+        Box::pin(std::future::pending())
+    }
+}
+
+/// Guards against a server that resumes and takes the messages that waited in its buffers
+/// for a proof that their sender still waits.
+#[test]
+fn probes_that_waited_do_not_confirm_the_contact() {
+    let config = net::Config {
+        probe: Duration::from_millis(100),
+        silence: Duration::from_millis(400),
+        ..net::Config::default()
+    };
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let (send_address, listening) = std::sync::mpsc::channel::<SocketAddr>();
+    let caller = std::thread::spawn(move || {
+        runtime::block_on(async {
+            let client = Net::bind(address, Key::new("key"), config).expect("loopback");
+            let server = listening.recv().expect("a server");
+            let request = Request::Fleet(Box::new(membership::Request::Block(JobId(1))));
+            let calling = client.call(server, request);
+            // Ends while the server stands still.
+            clock::timeout(Duration::from_millis(1_500), calling).await;
+        });
+    });
+    runtime::block_on(async move {
+        let server = Net::bind(address, Key::new("key"), config).expect("loopback");
+        let watcher = Watcher::default();
+        let contact = watcher.contact.clone();
+        server.serve(Rc::new(watcher));
+        send_address.send(server.address()).expect("a caller");
+        clock::sleep(Duration::from_millis(1_000)).await;
+        let contact = contact.borrow().clone().expect("a call");
+        let heard = contact.age();
+        assert!(heard < Duration::from_millis(700), "{heard:?} in touch");
+        std::thread::sleep(Duration::from_millis(1_500));
+        for _ in 0..10 {
+            clock::sleep(Duration::from_millis(5)).await;
+            let heard = contact.age();
+            assert!(heard > Duration::from_millis(1_500), "{heard:?} afterwards");
+        }
+    });
+    caller.join().expect("no panic");
+}
+
 #[test]
 fn a_captured_stream_can_not_be_replayed() {
     runtime::block_on(async {
--- a/crates/fleet/src/frontend/search.rs
+++ b/crates/fleet/src/frontend/search.rs
@@ -17,7 +17,7 @@
 use crate::{
     membership::{CallError, Reply, Request},
     messages::{RunOutcome, RunRequest},
-    scheduler::DropPolicy,
+    scheduler::Waiter,
 };
 
 /// Time from the first to the second round of a search.
@@ -180,7 +180,7 @@
         if !queried.contains(&own) {
             let claim =
                 self.scheduler
-                    .claim(run_request.clone(), short_ids.to_vec(), DropPolicy::Stop);
+                    .claim(run_request.clone(), short_ids.to_vec(), Waiter::Caller);
             let reply = async move {
                 match claim.await {
                     Ok(run_outcome) => ClaimReply::Ended(run_outcome),
@@ -197,8 +197,13 @@
                 continue;
             }
             let cancel_guard = CancelOnDrop::new(self, owner, run_request);
+            let recipient = self.membership.recipient(owner);
             let request = Request::Claim {
-                run_request: run_request.clone(),
+                run_request: RunRequest {
+                    owner_incarnation: recipient.incarnation,
+                    sent_at: recipient.clocks,
+                    ..run_request.clone()
+                },
                 short_ids: short_ids.to_vec(),
             };
             let claim = self.transport.call(owner, request);
--- a/crates/fleet/src/frontend/task.rs
+++ b/crates/fleet/src/frontend/task.rs
@@ -13,7 +13,7 @@
     membership::{CallError, Reply, Request},
     messages::{ClockReading, NotStartedReason, RunOutcome, RunRequest},
     orphans::{Orphan, Sighting},
-    scheduler::DropPolicy,
+    scheduler::Waiter,
 };
 
 /// Multiple of the latency goal after which an answer is useless to the caller.
@@ -240,6 +240,9 @@
         active_job: &ActiveJob<'_>,
         run_request: &RunRequest,
     ) -> RunStatus {
+        while !self.scheduler.may_start_for_callers() {
+            clock::sleep(RETRY_PAUSE).await;
+        }
         let Some(owner) = self.choose_owner(run_request) else {
             clock::sleep(RETRY_PAUSE).await;
             return RunStatus::Ended(RunOutcome::NotStarted(NotStartedReason::OwnerUnavailable));
@@ -252,7 +255,7 @@
         if owner == self.config.address {
             let run_outcome = self
                 .scheduler
-                .run(run_request.clone(), DropPolicy::Stop)
+                .run(run_request.clone(), Waiter::Caller)
                 .await;
             return self.locate(run_outcome, owner, self.scheduler.short_ids());
         }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -22,7 +22,7 @@
 * [`membership`]: the other instances, their load and whether they are alive.
 * [`owner_selection`], [`backlog`], [`reservation`], [`placement`], [`forecast`],
   [`room`], [`active_services`], [`admission`], [`run_time`], [`circuit_breaker`],
-  [`overdue`], [`takeover`], [`lost_answers`], [`read_schedule`]: decisions without I/O.
+  [`overdue`], [`takeover`], [`permission`], [`lost_answers`], [`read_schedule`]: decisions without I/O.
 
 This crate does no I/O of its own: it reaches targets through
 [`target_client::TargetClient`], instances through [`membership::Transport`] and the
@@ -50,6 +50,7 @@
 pub mod node;
 pub mod target_client;
 pub mod ownership;
+pub mod permission;
 mod injected_fault;
 pub mod backlog;
 pub mod overdue;
--- a/crates/fleet/src/messages.rs
+++ b/crates/fleet/src/messages.rs
@@ -40,12 +40,17 @@
         }
     }
 
+    /// Time since this reading, on the clock on which more has passed.
+    pub fn age(self) -> Duration {
+        let now = ClockReading::now();
+        let monotonic_ms = now.monotonic_ms.saturating_sub(self.monotonic_ms);
+        let wall_ms = now.wall_ms.saturating_sub(self.wall_ms);
+        Duration::from_millis(monotonic_ms.max(wall_ms))
+    }
+
     /// Whether more than `limit` has passed since this reading on either clock.
     pub fn is_older_than(self, limit: Duration) -> bool {
-        let now = ClockReading::now();
-        let limit = u64::try_from(limit.as_millis()).unwrap_or(u64::MAX);
-        now.monotonic_ms.saturating_sub(self.monotonic_ms) > limit
-            || now.wall_ms.saturating_sub(self.wall_ms) > limit
+        self.age() > limit
     }
 }
 
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -32,7 +32,8 @@
     messages::{ClockReading, NotStartedReason, RunOutcome, RunRequest},
     orphans,
     ownership::Candidate,
-    scheduler::{self, DropPolicy, Scheduler},
+    permission::Contact,
+    scheduler::{self, Scheduler, Waiter},
     table_watch::{ConfigTiming, OperatorRow, Page, Query},
     target_client::TargetClient,
     target_list::{Delta, TargetList},
@@ -143,6 +144,7 @@
         log: Logger,
     ) -> Rc<Node> {
         let scheduler_config = scheduler::Config {
+            give_up_time: config.orphan_timeout,
             injected_fault: config.injected_fault,
             ..config.scheduler
         };
@@ -708,9 +710,13 @@
         Reply::Ended(run_outcome, self.scheduler.load())
     }
 
-    /// Handles a request of a peer.
-    pub fn handle_request(&self, mut request: Request) -> LocalFuture<'static, Reply> {
-        let scheduler = self.scheduler.clone();
+    /// Handles a request of a peer, which came on a connection with `contact`.
+    pub fn handle_request(
+        &self,
+        mut request: Request,
+        contact: &Contact,
+    ) -> LocalFuture<'static, Reply> {
+        let (scheduler, waiter) = (self.scheduler.clone(), Waiter::Peer(contact.clone()));
         if let Request::Run(run_request) = &mut request
             && self.config.injected_fault == Some(InjectedFault::AcceptForeignRequest)
         {
@@ -733,22 +739,29 @@
                 let run_outcome = RunOutcome::NotStarted(NotStartedReason::OwnerUnavailable);
                 Box::pin(async move { Reply::Ended(run_outcome, scheduler.load()) })
             }
-            Request::Run(run_request) => Box::pin(async move {
-                let run_outcome = scheduler.run(run_request, DropPolicy::Orphan).await;
-                Reply::Ended(run_outcome, scheduler.load())
-            }),
+            Request::Run(run_request) => {
+                contact.confirm(run_request.sent_at);
+                Box::pin(async move {
+                    let run_outcome = scheduler.run(run_request, waiter).await;
+                    Reply::Ended(run_outcome, scheduler.load())
+                })
+            }
             Request::Claim {
-                run_request,
+                mut run_request,
                 short_ids,
-            } => Box::pin(async move {
-                match scheduler
-                    .claim(run_request, short_ids, DropPolicy::Orphan)
-                    .await
-                {
-                    Ok(run_outcome) => Reply::Ended(run_outcome, scheduler.load()),
-                    Err(excluded) => Reply::NotFound { excluded },
+            } => {
+                if self.is_recipient(&run_request) {
+                    contact.confirm(run_request.sent_at);
                 }
-            }),
+                // A run that is claimed is not started here on behalf of this request.
+                run_request.sent_at = ClockReading::default();
+                Box::pin(async move {
+                    match scheduler.claim(run_request, short_ids, waiter).await {
+                        Ok(run_outcome) => Reply::Ended(run_outcome, scheduler.load()),
+                        Err(excluded) => Reply::NotFound { excluded },
+                    }
+                })
+            }
             Request::Cancel { task, run } => {
                 scheduler.cancel(task, run);
                 Box::pin(async { Reply::Accepted })
--- a/crates/fleet/src/scheduler/claims.rs
+++ b/crates/fleet/src/scheduler/claims.rs
@@ -15,20 +15,21 @@
 use crate::{
     InjectedFault,
     messages::{RunOutcome, RunRequest},
+    permission::{Contact, Permission},
     takeover::STOP_ALLOWANCE,
 };
 
 /// Time in which a frontend whose connection was reset claims its runs again.
 const RECLAIM_TIME: Duration = Duration::from_millis(50);
 
-/// What happens to a run whose future is dropped.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum DropPolicy {
-    /// The caller has gone; the run is stopped.
-    Stop,
-    /// The connection to the frontend was lost; the run continues for a while
-    /// so that the frontend can claim it.
-    Orphan,
+/// Who waits for the outcome of a run.
+#[derive(Clone, Debug)]
+pub enum Waiter {
+    /// Caller of this instance. The run is stopped once it has gone.
+    Caller,
+    /// Frontend of a peer. If the connection to it is lost, the run continues for a
+    /// while so that the frontend can claim it.
+    Peer(Contact),
 }
 
 enum Adoption {
@@ -48,7 +49,7 @@
         &self,
         request: RunRequest,
         short_ids: Vec<u32>,
-        drop_policy: DropPolicy,
+        waiter: Waiter,
     ) -> LocalFuture<'static, Result<RunOutcome, Vec<u32>>> {
         let shared = self.0.clone();
         Box::pin(async move {
@@ -56,10 +57,11 @@
             if shared.config.injected_fault == Some(InjectedFault::DenyClaims) {
                 return Err(short_ids);
             }
-            let guard = DropGuard::new(&shared, key, drop_policy);
+            let permission = shared.permission(&waiter);
+            let guard = DropGuard::new(&shared, key, waiter);
             let (reply, outcome) = oneshot::channel();
             let mut reply = Some(reply);
-            let mut adoption = shared.adopt(key, &request, &short_ids, &mut reply);
+            let mut adoption = shared.adopt(key, &request, &permission, &short_ids, &mut reply);
             let mut absent_from = Vec::new();
             if matches!(adoption, Adoption::Missing) {
                 let polls = shared.poll_now(&short_ids).await;
@@ -69,7 +71,7 @@
                     .iter()
                     .filter(|(held, number)| held.is_confirmed(*number));
                 absent_from = confirmed.map(|(held, _)| held.short_id).collect();
-                adoption = shared.adopt(key, &request, &short_ids, &mut reply);
+                adoption = shared.adopt(key, &request, &permission, &short_ids, &mut reply);
             }
             match adoption {
                 Adoption::Ended(outcome) => Ok(guard.finish(Ok(outcome))),
@@ -108,6 +110,7 @@
         &self,
         key: RunKey,
         request: &RunRequest,
+        permission: &Permission,
         short_ids: &[u32],
         reply: &mut Option<oneshot::Sender<RunOutcome>>,
     ) -> Adoption {
@@ -117,6 +120,7 @@
                 && let Some(reply) = reply.take()
             {
                 queued.reply = reply;
+                queued.permission = permission.clone();
                 queued.request = RunRequest {
                     spec: queued.request.spec.clone(),
                     eligible_targets: queued.request.eligible_targets.clone(),
@@ -145,6 +149,7 @@
             }
             run.front_address = Some(request.front_address);
             run.reply = reply.take();
+            run.permission = Some(permission.clone());
             run.expires_at = now + Duration::from_millis(request.start_timeout_ms.into());
             run.request.get_or_insert_with(|| request.clone());
             info!(self.log, "adopted run"; "task" => %key.0, "run" => key.1,
@@ -203,15 +208,15 @@
 pub(super) struct DropGuard {
     shared: Rc<Shared>,
     key: Option<RunKey>,
-    drop_policy: DropPolicy,
+    waiter: Waiter,
 }
 
 impl DropGuard {
-    pub(super) fn new(shared: &Rc<Shared>, key: RunKey, drop_policy: DropPolicy) -> DropGuard {
+    pub(super) fn new(shared: &Rc<Shared>, key: RunKey, waiter: Waiter) -> DropGuard {
         DropGuard {
             shared: shared.clone(),
             key: Some(key),
-            drop_policy,
+            waiter,
         }
     }
 
@@ -233,11 +238,11 @@
         if !self.shared.is_abandoned(key) {
             return;
         }
-        match self.drop_policy {
-            DropPolicy::Stop => {
+        match self.waiter {
+            Waiter::Caller => {
                 self.shared.cancel(key, "nobody waits for it");
             }
-            DropPolicy::Orphan => self.shared.orphan(key),
+            Waiter::Peer(_) => self.shared.orphan(key),
         }
     }
 }
--- a/crates/fleet/src/scheduler/held_target.rs
+++ b/crates/fleet/src/scheduler/held_target.rs
@@ -22,6 +22,7 @@
     circuit_breaker::CircuitBreaker,
     crash_history::{Fate, Loss, LossReport},
     messages::{ClockReading, RunOutcome, RunRequest},
+    permission::{MIN_START_LEASE, Permission, longest_lease},
     run_time::Estimator,
     takeover::STOP_ALLOWANCE,
     target_client::{ExitStatus, Status},
@@ -33,15 +34,6 @@
 /// Maximum number of ended runs that are remembered for a later claim.
 const MAX_UNCLAIMED_ENDS: usize = 256;
 
-/// Maximum relative error of the clock rate of a target.
-const MAX_CLOCK_DRIFT: f64 = 0.02;
-
-/// Margin on the end of a lease for the transit time of a request.
-const LEASE_MARGIN: Duration = Duration::from_millis(50);
-
-/// Shortest lease with which a task is started: a poll and its transit.
-const MIN_START_LEASE: Duration = Duration::from_millis(300);
-
 /// Silence after which nothing waits for a target any more: several polls.
 const MAX_SILENCE: Duration = Duration::from_millis(1_000);
 
@@ -70,6 +62,8 @@
     pub(super) phase: Phase,
     /// `None` for a run that another owner started, before it is claimed.
     pub(super) request: Option<RunRequest>,
+    /// Permission to keep the run alive, if somebody waits for it.
+    pub(super) permission: Option<Permission>,
     pub(super) reply: Option<oneshot::Sender<RunOutcome>>,
     pub(super) front_address: Option<SocketAddr>,
     /// Time at which the start request was sent or the run was first listed.
@@ -320,11 +314,11 @@
         self.runs.is_empty() && self.suspects.is_empty()
     }
 
-    /// End of a lease of `duration` from now on the clock of the target, in
+    /// End of a lease of `duration` from `now` on the clock of the target, in
     /// milliseconds. `None` if the clock is unknown.
-    pub(super) fn lease_end_ms(&self, duration: Duration) -> Option<u64> {
+    pub(super) fn lease_end_ms(&self, now: Instant, duration: Duration) -> Option<u64> {
         let (clock_ms, read_at) = self.target_clock?;
-        let elapsed = clock::now() - read_at;
+        let elapsed = now - read_at;
         Some(clock_ms + millis(elapsed) + millis(duration))
     }
 
@@ -337,8 +331,15 @@
     /// keep a run alive that nobody waits for.
     pub(super) fn longest_renewal(&self, duration: Duration) -> Duration {
         let now = clock::now();
-        let limits = self.runs.values().filter_map(|it| it.lease_limit);
-        limits.min().map_or(duration, |it| (it - now).min(duration))
+        let limited = self.runs.values().map(|run| {
+            let permitted = match &run.permission {
+                Some(permission) => permission.longest_lease(duration),
+                None => duration,
+            };
+            run.lease_limit
+                .map_or(permitted, |it| permitted.min(it - now))
+        });
+        limited.min().unwrap_or(duration)
     }
 
     /// Records that a request with a lease of `duration` is about to be sent.
@@ -435,6 +436,7 @@
             let run = self.runs.entry(key).or_insert_with(|| Run {
                 phase: Phase::Unclaimed,
                 request: None,
+                permission: None,
                 reply: None,
                 front_address: None,
                 started_at: now,
@@ -607,11 +609,6 @@
     }
 }
 
-/// Longest time from the request of a lease of `duration` to its end.
-pub(super) fn longest_lease(duration: Duration) -> Duration {
-    duration.mul_f64(1.0 + 2.0 * MAX_CLOCK_DRIFT) + LEASE_MARGIN
-}
-
 pub(super) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/fleet/src/scheduler/mod.rs
+++ b/crates/fleet/src/scheduler/mod.rs
@@ -31,7 +31,7 @@
 use futures_channel::oneshot;
 use slog::{Logger, info};
 
-pub use self::claims::DropPolicy;
+pub use self::claims::Waiter;
 use self::{
     claims::DropGuard,
     held_target::{HeldTarget, Phase, Run, RunKey, millis},
@@ -46,9 +46,10 @@
     forecast::Occupancy,
     identity::Identity,
     lost_answers::LostAnswers,
-    messages::{Load, NotStartedReason, RunOutcome, RunRequest},
+    messages::{ClockReading, Load, NotStartedReason, RunOutcome, RunRequest},
     orphans::{Orphan, Registry},
     overdue::ActiveRun,
+    permission::{Contact, Permission, RESUBMISSION_DELAY},
     placement::{self, Decision, Wait},
     reservation::{self, Reservations},
     room::{ArrivalRate, Room, TargetRoom},
@@ -65,9 +66,6 @@
 /// At most one in this many targets may be blocked by its circuit breaker.
 const BLOCKED_SHARE_DIVISOR: usize = 3;
 
-/// Time without a tick after which the process is assumed to have been suspended.
-const STALL_THRESHOLD: Duration = Duration::from_millis(250);
-
 /// Time for which a denied run is remembered: the longest time for which a
 /// request from a frontend may be in transit.
 const DENY_DURATION: Duration = Duration::from_secs(10);
@@ -97,6 +95,9 @@
     pub request_timeout: Duration,
     /// Time after which a run without a frontend is stopped unless it is claimed.
     pub claim_timeout: Duration,
+    /// Shortest time after which a frontend that has lost this instance gives up its
+    /// runs here.
+    pub give_up_time: Duration,
     /// Time since the last answer after which a target that is no longer listed is
     /// released.
     pub unlisted_timeout: Duration,
@@ -133,7 +134,11 @@
     /// Whether targets are assigned for which there is no place.
     lacks_places: Cell<bool>,
     leaving: Cell<bool>,
-    last_tick: Cell<Instant>,
+    /// Clocks at the last two ticks, the last one first.
+    ticked_at: Cell<[ClockReading; 2]>,
+    /// Contact to the callers of this instance. What had arrived before the last tick
+    /// but one has been read.
+    callers: Contact,
     /// Runs that must not start here, each until requests for it can no longer be
     /// in transit.
     denied_runs: RefCell<BTreeMap<RunKey, Instant>>,
@@ -152,11 +157,14 @@
 
 struct QueuedRun {
     request: RunRequest,
+    permission: Permission,
     reply: oneshot::Sender<RunOutcome>,
     queued_at: Instant,
     expires_at: Instant,
     /// Wait for a better target than the free ones.
     wait: Cell<Option<Wait>>,
+    /// Whether it was logged that the task lacks the permission to start.
+    is_withheld: Cell<bool>,
 }
 
 impl Scheduler {
@@ -174,7 +182,8 @@
             evacuations,
             log,
             token_source: RefCell::default(),
-            last_tick: Cell::new(clock::now()),
+            ticked_at: Cell::new([ClockReading::now(); 2]),
+            callers: Contact::new(),
             held_targets: RefCell::default(),
             backlog: RefCell::default(),
             backlog_positions: RefCell::default(),
@@ -332,13 +341,9 @@
         is_any_synced && unsynced.all(|it| it.is_silent(now) || it.was_silent)
     }
 
-    /// Runs a task and waits for its outcome. `drop_policy` determines what happens
-    /// to the run if the future is dropped.
-    pub fn run(
-        &self,
-        mut request: RunRequest,
-        drop_policy: DropPolicy,
-    ) -> LocalFuture<'static, RunOutcome> {
+    /// Runs a task and waits for its outcome. `waiter` determines what happens to the
+    /// run if the future is dropped.
+    pub fn run(&self, mut request: RunRequest, waiter: Waiter) -> LocalFuture<'static, RunOutcome> {
         let shared = self.0.clone();
         if shared.config.injected_fault == Some(InjectedFault::StartAfterLoss) {
             request.sent_at.monotonic_ms = u64::MAX;
@@ -357,7 +362,8 @@
             if shared.denied_runs.borrow().contains_key(&key) {
                 return RunOutcome::NotStarted(NotStartedReason::RunNumberUsed);
             }
-            let guard = DropGuard::new(&shared, key, drop_policy);
+            let permission = shared.permission(&waiter);
+            let guard = DropGuard::new(&shared, key, waiter);
             let (reply, outcome) = oneshot::channel();
             let now = clock::now();
             let goal = Duration::from_millis(request.goal_remaining_ms.into());
@@ -368,7 +374,9 @@
                     + Duration::from_millis(request.start_timeout_ms.into()).max(MIN_START_TIMEOUT),
                 reply,
                 request,
+                permission,
                 wait: Cell::default(),
+                is_withheld: Cell::default(),
             };
             shared.record_arrival(&queued.request, now);
             shared.enqueue(key, now + goal.saturating_sub(estimate), queued);
@@ -377,6 +385,13 @@
         })
     }
 
+    /// Whether a task of a caller of this instance may be started. After a suspension
+    /// the connections of the callers are read first.
+    pub fn may_start_for_callers(&self) -> bool {
+        self.0.config.injected_fault == Some(InjectedFault::StartUnasked)
+            || self.0.permission(&Waiter::Caller).allows_start()
+    }
+
     /// Stops a run or removes it from the backlog.
     pub fn cancel(&self, task: crate::TaskId, run: u32) {
         if !self.0.cancel((task, run), "cancelled by its front") {
@@ -462,7 +477,9 @@
     /// runs. Must be called several times a second.
     pub fn tick(&self) {
         let now = clock::now();
-        self.0.last_tick.set(now);
+        let [last, last_but_one] = self.0.ticked_at.get();
+        self.0.ticked_at.set([ClockReading::now(), last]);
+        self.0.callers.confirm(last_but_one);
         self.0.refuse_unplaceable(now);
         let held: Vec<_> = self.0.held_targets.borrow().values().cloned().collect();
         for held in held {
@@ -627,6 +644,9 @@
         let (Some(request), Some(reply)) = (run.request, run.reply) else {
             return;
         };
+        let Some(permission) = run.permission else {
+            return;
+        };
         if run.phase == Phase::Stopping || reply.is_canceled() {
             let _ = reply.send(RunOutcome::NotStarted(NotStartedReason::Cancelled));
             return;
@@ -634,9 +654,11 @@
         let queued = QueuedRun {
             request,
             reply,
+            permission,
             queued_at: run.started_at,
             expires_at: run.expires_at,
             wait: Cell::default(),
+            is_withheld: Cell::default(),
         };
         self.enqueue(key, run.start_by, queued);
     }
@@ -658,6 +680,28 @@
         suitable.peek().is_none() || suitable.any(|it| self.may_be_used(it, now))
     }
 
+    /// Permission to act for `waiter`.
+    fn permission(&self, waiter: &Waiter) -> Permission {
+        match waiter {
+            Waiter::Caller => Permission::new(self.callers.clone(), RESUBMISSION_DELAY),
+            Waiter::Peer(contact) => Permission::new(contact.clone(), self.config.give_up_time),
+        }
+    }
+
+    /// Whether those who wait for a task certainly still count on its start here.
+    fn may_start(&self, queued: &QueuedRun) -> bool {
+        if self.config.injected_fault == Some(InjectedFault::StartUnasked) {
+            return true;
+        }
+        let may_start = queued.permission.allows_start();
+        if !may_start && !queued.is_withheld.replace(true) {
+            info!(self.log, "task may not start until its front is heard";
+                "task" => %queued.request.task, "run" => queued.request.run,
+                "heard_ms" => millis(queued.permission.contact_age()));
+        }
+        may_start
+    }
+
     /// Whether no evacuation prevents starts on a target.
     fn may_be_used(&self, held: &HeldTarget, now: Instant) -> bool {
         let evacuations = self.evacuations.borrow();
@@ -695,15 +739,9 @@
 
     /// Starts all waiting tasks that fit, in the order of the backlog, and answers
     /// those that have expired or take capacity from tasks that can be in time.
-    ///
-    /// A process that was suspended starts nothing before its next tick, because
-    /// the frontends of the waiting tasks may have gone.
     fn dispatch(self: &Rc<Self>) {
         let now = clock::now();
         self.refuse_expired(now);
-        if now - self.last_tick.get() > STALL_THRESHOLD {
-            return;
-        }
         loop {
             let Some((position, held)) = self.next_start() else {
                 self.arm_wait_timer();
@@ -758,6 +796,9 @@
         let mut round = self.new_round(&backlog, &startable, now);
         backlog.scan(now).find_map(|(position, queued)| {
             let request = &queued.request;
+            if !self.may_start(queued) {
+                return None;
+            }
             let goal = position.start_by - now + Duration::from_millis(request.estimate_ms.into());
             let mut places = self.places(request, &startable, &free);
             places.retain(|it| {
--- a/crates/fleet/src/scheduler/poll_loop.rs
+++ b/crates/fleet/src/scheduler/poll_loop.rs
@@ -15,12 +15,13 @@
 
 use super::{
     Shared,
-    held_target::{HeldTarget, Phase, longest_lease, millis},
+    held_target::{HeldTarget, Phase, millis},
 };
 use crate::{
     InjectedFault,
     crash_history::Fate,
     fencing,
+    permission::longest_lease,
     takeover::Limits,
     target_client::{PollRequest, RequestError, Status},
 };
@@ -28,9 +29,12 @@
 /// Delay after a failed poll.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Longest wait of a poll while the lease is not renewed for its whole duration.
+/// Longest wait of a poll while the lease is renewed for a short time only.
 const LIMITED_POLL_WAIT: Duration = Duration::from_millis(50);
 
+/// Share of the usual lease from which on polls wait for the usual time.
+const LONG_LEASE_SHARE: f64 = 0.75;
+
 /// First increase of a rejected fencing token, in milliseconds of wall time. Each
 /// further step doubles it.
 const MIN_TOKEN_STEP_MS: u64 = 250;
@@ -189,11 +193,12 @@
             _ => state.fencing_token = fencing::increment(fencing_token)?,
         }
     }
+    let now = clock::now();
     // The lease of an unresponsive target is not renewed, so that it expires.
     let renew_unresponsive = shared.config.injected_fault == Some(InjectedFault::RenewUnresponsive);
     let lease = state.longest_renewal(shared.config.lease);
     let lease_end_ms = match (state.synced && !lease.is_zero()) || renew_unresponsive {
-        true => state.lease_end_ms(lease),
+        true => state.lease_end_ms(now, lease),
         false => None,
     };
     if lease_end_ms.is_some() && !renew_unresponsive {
@@ -201,10 +206,11 @@
     }
     let is_requested = held.requested_polls.get() > held.answered_polls.get();
     let may_wait = state.synced && state.knows_clock() && !unconfirmed && !is_requested;
-    let wait = match (may_wait, lease < shared.config.lease) {
-        (true, false) => shared.config.poll_timeout,
+    let is_long = lease >= shared.config.lease.mul_f64(LONG_LEASE_SHARE);
+    let wait = match (may_wait, is_long) {
+        (true, true) => shared.config.poll_timeout,
         // The whole lease is to be renewed as soon as that is possible.
-        (true, true) => shared.config.poll_timeout.min(LIMITED_POLL_WAIT),
+        (true, false) => shared.config.poll_timeout.min(LIMITED_POLL_WAIT),
         (false, _) => Duration::ZERO,
     };
     Some(PollRequest {
--- a/crates/fleet/src/scheduler/run_control.rs
+++ b/crates/fleet/src/scheduler/run_control.rs
@@ -10,6 +10,7 @@
     held_target::{HeldTarget, Phase, Run, RunKey},
 };
 use crate::{
+    InjectedFault,
     backlog::Position,
     messages::{NotStartedReason, RunOutcome},
     target_client::{RequestError, StartRequest},
@@ -27,8 +28,13 @@
 ) {
     let key = (queued.request.task, queued.request.run);
     let mut state = held.state.borrow_mut();
-    let lease = state.longest_renewal(shared.config.lease);
-    let Some(lease_end_ms) = state.lease_end_ms(lease) else {
+    // The order may leave any time later, and has no effect after the end of its lease.
+    let now = clock::now();
+    let mut lease = state.longest_renewal(shared.config.lease);
+    if shared.config.injected_fault != Some(InjectedFault::StartUnasked) {
+        lease = queued.permission.longest_lease(lease);
+    }
+    let Some(lease_end_ms) = state.lease_end_ms(now, lease) else {
         // A lease requires the clock of the target; the next poll reports it.
         drop(state);
         shared.enqueue(key, position.start_by, queued);
@@ -48,8 +54,9 @@
         phase: Phase::Starting,
         front_address: Some(queued.request.front_address),
         request: Some(queued.request),
+        permission: Some(queued.permission),
         reply: Some(queued.reply),
-        started_at: clock::now(),
+        started_at: now,
         fencing_token: state.fencing_token,
         started_ms: None,
         answered_at: None,
--- a/crates/fleet/tests/restarts.rs
+++ b/crates/fleet/tests/restarts.rs
@@ -13,7 +13,7 @@
     evacuation::{EvacuationState, Evacuations},
     identity::Identity,
     messages::{ClockReading, RunOutcome, RunRequest},
-    scheduler::{Config, DropPolicy, Scheduler},
+    scheduler::{Config, Scheduler, Waiter},
     target_client::{
         ActiveRun, EndedRun, ExitStatus, PollRequest, RequestError, StartRequest, Status,
         TargetClient,
@@ -139,7 +139,7 @@
             scheduler.assign_targets(&[listed_target()]);
             clock::sleep(Duration::from_millis(50)).await;
             scheduler.tick();
-            let outcome = scheduler.run(run_request(), DropPolicy::Stop);
+            let outcome = scheduler.run(run_request(), Waiter::Caller);
             let restart = async {
                 clock::sleep(RUN_BEFORE).await;
                 assert!(target.run.get().is_some(), "the task runs");
@@ -359,7 +359,7 @@
             let target = Restarting::new(case.start, case.run_ms);
             let scheduler = hold(Rc::new(target.clone())).await;
             target.restart();
-            let outcome = scheduler.run(run_request(), DropPolicy::Stop);
+            let outcome = scheduler.run(run_request(), Waiter::Caller);
             let ended = async {
                 let outcome = clock::timeout(Duration::from_millis(4_000), outcome).await;
                 (outcome, clock::now())
@@ -393,7 +393,7 @@
         tick(&scheduler, 800).await;
         let outcomes = [(0, 40), (1, 30)];
         let outcomes = outcomes
-            .map(|(index, cores)| spawn(scheduler.run(request(index, cores), DropPolicy::Stop)));
+            .map(|(index, cores)| spawn(scheduler.run(request(index, cores), Waiter::Caller)));
         tick(&scheduler, 1_000).await;
         assert_eq!(target.0.starts.get(), 0, "started on what the list shows");
         let smaller = Target {
@@ -431,7 +431,7 @@
                 },
                 ..run_request()
             };
-            drop(spawn(scheduler.run(request, DropPolicy::Stop)));
+            drop(spawn(scheduler.run(request, Waiter::Caller)));
             tick(&scheduler, 10).await;
         }
         tick(&scheduler, 1_000).await;
@@ -445,6 +445,7 @@
         poll_timeout: POLL_TIMEOUT,
         request_timeout: Duration::from_millis(300),
         claim_timeout: Duration::from_millis(450),
+        give_up_time: Duration::from_millis(2_000),
         unlisted_timeout: Duration::from_millis(2_500),
         far_factor: 1.5,
         injected_fault: None,
--- a/crates/fleet/tests/sessions/main.rs
+++ b/crates/fleet/tests/sessions/main.rs
@@ -14,6 +14,7 @@
 mod resubmission;
 mod services;
 mod spread;
+mod suspension;
 mod system;
 mod takeover;
 mod waiting;
--- a/crates/fleet/tests/sessions/system.rs
+++ b/crates/fleet/tests/sessions/system.rs
@@ -4,6 +4,7 @@
     cell::{Cell, RefCell},
     collections::BTreeMap,
     net::{Ipv4Addr, SocketAddr},
+    pin::pin,
     rc::Rc,
     time::Duration,
 };
@@ -18,8 +19,9 @@
     scheduler,
     table_watch::{InstanceRow, OperatorRow, Watcher},
 };
-use bluebellpath_runtime::{LocalFuture, Scope, clock};
+use bluebellpath_runtime::{LocalFuture, Notify, Scope, clock};
 use bluebellpath_standin::{Feed, Identities, Mesh, Yard};
+use futures_util::future::{Either, select};
 use slog::{Drain, KV, Key, Logger, OwnedKVList, Record, Serializer, o};
 
 /// Cores of a target.
@@ -60,6 +62,15 @@
 /// Answers by job id.
 pub type Answers = Rc<RefCell<BTreeMap<u64, Answer>>>;
 
+/// Connection of a caller that waits for the answer to a job.
+#[derive(Default)]
+struct Connection {
+    /// Whether the caller has left.
+    left: Cell<bool>,
+    /// Notified once the instance has read that.
+    ended: Notify,
+}
+
 /// The platform's list of targets. Its version increases with the clock.
 #[derive(Default)]
 pub struct TargetList {
@@ -81,6 +92,8 @@
     pub mesh: Mesh,
     pub instances: Vec<Instance>,
     pub answers: Answers,
+    /// Connections of callers, by instance and job.
+    connections: RefCell<BTreeMap<(usize, u64), Rc<Connection>>>,
     layout: Layout,
     injected_fault: Option<InjectedFault>,
     first_config: Option<&'static str>,
@@ -117,6 +130,7 @@
             mesh: Mesh::default(),
             instances: Vec::new(),
             answers: Answers::default(),
+            connections: RefCell::default(),
             layout,
             injected_fault,
             first_config,
@@ -144,6 +158,7 @@
                 poll_timeout: Duration::from_millis(225),
                 request_timeout: Duration::from_millis(300),
                 claim_timeout: Duration::from_millis(450),
+                give_up_time: Duration::from_millis(2_000),
                 unlisted_timeout: Duration::from_millis(2_500),
                 far_factor: 1.5,
                 injected_fault: None,
@@ -281,10 +296,29 @@
     pub fn submit_as(&self, number: usize, submission: Submission) {
         let instance = &self.instances[number];
         let (node, answers) = (instance.node.clone(), self.answers.clone());
+        let (job, connection) = (submission.job.0, Rc::<Connection>::default());
+        let mut connections = self.connections.borrow_mut();
+        connections.insert((number, job), connection.clone());
         drop(instance.scope.spawn(async move {
-            let job = submission.job.0;
-            let answer = node.frontend().submit(submission).await;
-            answers.borrow_mut().insert(job, answer);
+            let answer = pin!(node.frontend().submit(submission));
+            let ended = pin!(connection.ended.notified());
+            if let Either::Right((answer, _)) = select(ended, answer).await
+                && !connection.left.get()
+            {
+                answers.borrow_mut().insert(job, answer);
+            }
+        }));
+    }
+
+    /// Ends the connection of the caller of a job. The instance reads that a little after
+    /// its timers if it is suspended.
+    pub fn hang_up(&self, number: usize, job: u64) {
+        let connection = self.connections.borrow().get(&(number, job)).cloned();
+        let Some(connection) = connection else { return };
+        connection.left.set(true);
+        drop(self.instances[number].scope.spawn(async move {
+            sleep_ms(1).await;
+            connection.ended.notify();
         }));
     }
 
--- a/crates/sessions/src/bin/claims.rs
+++ b/crates/sessions/src/bin/claims.rs
@@ -6,7 +6,7 @@
 use bluebellpath::{
     job::{Digest, Incarnation, Key, Submission},
     owner::{Claim, Claims, Config, ExtensionReply, ExtensionRequest, Tickets},
-    peer::{self, Handler, Identity, Link, Membership, Offline, Reply, Request},
+    peer::{self, Contact, Handler, Identity, Link, Membership, Offline, Reply, Request},
     platform::{Expect, Table as _, Write},
     settings::Domain,
 };
@@ -53,7 +53,7 @@
 struct Replica;
 
 impl Handler for Replica {
-    fn handle(&self, _request: Request) -> LocalFuture<'static, Reply> {
+    fn handle(&self, _request: Request, _: &Contact) -> LocalFuture<'static, Reply> {
         let promise = ExtensionReply {
             granted: true,
             have: 1,
--- a/crates/standin/src/mesh.rs
+++ b/crates/standin/src/mesh.rs
@@ -11,7 +11,9 @@
 
 use bluebellpath_fleet::{
     membership::{CallError, Heartbeat, Reply, Request, Transport},
+    messages::ClockReading,
     node::Node,
+    permission::Contact,
 };
 use bluebellpath_runtime::{Instant, LocalFuture, Notify, Scope, clock};
 use futures_util::future::{Either, select};
@@ -25,6 +27,9 @@
 /// Silence of a connection after which its server gives it up.
 const SERVER_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Time between two probes of a connection with calls.
+const PROBE: Duration = Duration::from_millis(150);
+
 /// Time between two tries of what a cut holds up.
 const RESEND: Duration = Duration::from_millis(200);
 
@@ -52,6 +57,7 @@
     stalled: RefCell<BTreeMap<(SocketAddr, SocketAddr), Option<Instant>>>,
     stall: Notify,
     reset: Notify,
+    connections: RefCell<BTreeMap<(SocketAddr, SocketAddr), Connection>>,
     /// Bytes that the link of each instance sends in a second; 0 for no limit.
     bandwidth: Cell<u64>,
     /// Times until which the links are busy.
@@ -60,6 +66,23 @@
     heartbeats: Cell<u64>,
 }
 
+/// Connection from one instance to another, for as long as calls are under way.
+#[derive(Clone)]
+struct Connection {
+    /// Contact of the receiver to the caller.
+    contact: Contact,
+    calls: Rc<Cell<usize>>,
+}
+
+/// Counts a call until it is dropped.
+struct CallCount(Rc<Cell<usize>>);
+
+impl Drop for CallCount {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// What one instance sees of the mesh.
 pub struct Side {
     mesh: Mesh,
@@ -78,6 +101,41 @@
     /// Lets an instance be reached, whose tasks are in `scope`.
     pub fn join(&self, address: SocketAddr, node: Rc<Node>, scope: Scope) {
         self.0.nodes.borrow_mut().insert(address, (node, scope));
+        let mut connections = self.0.connections.borrow_mut();
+        connections.retain(|it, _| it.0 != address && it.1 != address);
+    }
+
+    /// Connection from `from` to `to`, which is made if there is none.
+    fn connection(&self, from: SocketAddr, to: SocketAddr) -> Connection {
+        let mut connections = self.0.connections.borrow_mut();
+        if let Some(connection) = connections.get(&(from, to)) {
+            return connection.clone();
+        }
+        let connection = Connection {
+            contact: Contact::default(),
+            calls: Rc::default(),
+        };
+        connections.insert((from, to), connection.clone());
+        let caller = self.0.nodes.borrow().get(&from).map(|it| it.1.clone());
+        if let Some(caller) = caller {
+            drop(caller.spawn(probe(self.clone(), (from, to), connection.clone())));
+        }
+        connection
+    }
+
+    /// Ends all connections; the next calls make new ones.
+    fn disconnect(&self) {
+        self.0.connections.borrow_mut().clear();
+    }
+
+    fn is_open(&self, pair: (SocketAddr, SocketAddr), connection: &Connection) -> bool {
+        let connections = self.0.connections.borrow();
+        let current = connections.get(&pair);
+        current.is_some_and(|it| Rc::ptr_eq(&it.calls, &connection.calls))
+    }
+
+    fn is_silent(&self, pair: (SocketAddr, SocketAddr)) -> bool {
+        self.0.silent.borrow().contains(&pair) || self.0.stalled.borrow().contains_key(&pair)
     }
 
     /// Cuts two instances off from each other, or heals.
@@ -141,6 +199,7 @@
         let pairs = nodes.iter().flat_map(|a| nodes.iter().map(|b| (*a, *b)));
         let stalled = pairs.map(|it| (it, None));
         self.0.stalled.borrow_mut().extend(stalled);
+        self.disconnect();
         self.0.stall.notify();
     }
 
@@ -163,6 +222,7 @@
 
     /// Resets all connections between instances.
     pub fn reset(&self) {
+        self.disconnect();
         self.0.reset.notify();
     }
 
@@ -189,7 +249,8 @@
                 clock::sleep(RESEND).await;
             }
             if let Some((node, scope)) = mesh.peer(from, to) {
-                drop(scope.spawn(async move { node.handle_request(request).await }));
+                let contact = Contact::default();
+                drop(scope.spawn(async move { node.handle_request(request, &contact).await }));
             }
         }));
     }
@@ -264,13 +325,17 @@
             let Some((node, scope)) = mesh.peer(own, to) else {
                 return Err(CallError::NotSent);
             };
+            let connection = mesh.connection(own, to);
+            let contact = connection.contact.clone();
+            connection.calls.set(connection.calls.get() + 1);
+            let _call = CallCount(connection.calls);
             let stall = mesh.0.stall.notified();
             let reset = mesh.0.reset.notified();
             let (inner, dropped) = (mesh.clone(), Rc::new(Notify::new()));
             let caller = Hangup(dropped.clone());
             // The receiver drops the call when its connection ends, as daemons do.
             let reply = scope.spawn(async move {
-                let handling = node.handle_request(request);
+                let handling = node.handle_request(request, &contact);
                 let ends = async {
                     let reset = std::pin::pin!(inner.0.reset.notified());
                     select(reset, std::pin::pin!(dropped.notified())).await;
@@ -303,6 +368,37 @@
     }
 }
 
+/// Probes a connection as long as calls are under way. A probe tells the receiver the
+/// least that its clocks can show.
+async fn probe(mesh: Mesh, pair: (SocketAddr, SocketAddr), connection: Connection) {
+    let alive: Rc<Cell<Option<(ClockReading, Instant)>>> = Rc::default();
+    loop {
+        clock::sleep(PROBE).await;
+        if !mesh.is_open(pair, &connection) {
+            return;
+        }
+        if connection.calls.get() == 0 {
+            mesh.0.connections.borrow_mut().remove(&pair);
+            return;
+        }
+        let receiver = mesh.peer(pair.0, pair.1).filter(|_| !mesh.is_silent(pair));
+        let Some((_, receiver)) = receiver else {
+            continue;
+        };
+        let (mesh, contact) = (mesh.clone(), connection.contact.clone());
+        let known = alive.get();
+        let clocks = known.map(|(clocks, received_at)| clocks.after(clock::now() - received_at));
+        let alive = alive.clone();
+        drop(receiver.spawn(async move {
+            clock::sleep(WAY).await;
+            contact.confirm(clocks.unwrap_or_default());
+            if !mesh.is_cut(pair.1, pair.0) {
+                alive.set(Some((ClockReading::now(), clock::now() + WAY)));
+            }
+        }));
+    }
+}
+
 /// Bytes of a request on a link.
 fn bytes_of(request: &Request) -> usize {
     let content = match request {
--- a/crates/standin/src/network.rs
+++ b/crates/standin/src/network.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use bluebellpath::peer::{Datagram, Error, Fault, Handler, Link, Reply, Request, Step};
+use bluebellpath::peer::{Contact, Datagram, Error, Fault, Handler, Link, Reply, Request, Step};
 use bluebellpath_runtime::{LocalFuture, Notify, Scope, clock};
 
 use crate::dice;
@@ -223,7 +223,8 @@
                 let fault = Fault::NotSent;
                 return Err(self.error(Step::Connect, to, fault, "no way to this peer"));
             };
-            let reply = scope.spawn(async move { handler.handle(request).await });
+            let reply =
+                scope.spawn(async move { handler.handle(request, &Contact::default()).await });
             // A peer that dies ends the wait at once, as a reset would; one
             // that is cut off or paused says nothing.
             let Some(reply) = reply.await else {
