Ask a target again after a suspension before its runs are given up

Callers: a job was answered as unknown 1.7 s after its instance went on, or ran a second time, though its run had ended and the target held the result. Cause: a poll that was under way when the process was suspended timed out at the wake, before its answer was read. The owner took that for silence of the target, and as the lease had ended meanwhile, it gave the runs up in the first millisecond. Change: a poll that was sent before the end of the last suspension proves nothing when it fails. The target is asked again at once, without a new lease. Evidence: the log shows "run is gone", target_is silent, 1 ms after the wake.

--- a/crates/fleet/src/scheduler/mod.rs
+++ b/crates/fleet/src/scheduler/mod.rs
@@ -702,6 +702,13 @@
         may_start
     }
 
+    /// Time since which this process could hear its targets.
+    fn running_since(&self) -> Instant {
+        let hearing = self.hearing.borrow();
+        let suspensions = hearing.as_ref().map(|it| &it.suspensions);
+        suspensions.map_or_else(Instant::default, |it| it.running_since())
+    }
+
     /// Whether no evacuation prevents starts on a target.
     fn may_be_used(&self, held: &HeldTarget, now: Instant) -> bool {
         let evacuations = self.evacuations.borrow();
--- a/crates/fleet/src/scheduler/poll_loop.rs
+++ b/crates/fleet/src/scheduler/poll_loop.rs
@@ -97,6 +97,14 @@
                     held.state.borrow_mut().fencing_token = token;
                 }
             }
+            // The answer may have come while nobody read it.
+            Err(RequestError::Unknown | RequestError::NotSent)
+                if sent_at < shared.running_since() =>
+            {
+                held.state.borrow_mut().synced = false;
+                info!(shared.log, "asking target again after a suspension"; "target" => %target.id,
+                    "waited_ms" => millis(clock::now() - sent_at));
+            }
             Err(error) => {
                 if !std::mem::replace(&mut unresponsive, true) {
                     warn!(shared.log, "target does not answer"; "target" => %target.id,
--- a/crates/fleet/tests/sessions/suspension.rs
+++ b/crates/fleet/tests/sessions/suspension.rs
@@ -246,3 +246,17 @@
         });
     }
 }
+
+/// Guards against an owner that resumes and takes the silence of a target that it could
+/// not hear for the loss of the run there, whose end the target has kept.
+#[test]
+fn a_run_that_ended_during_a_suspension_is_not_given_up() {
+    check(1, |system, suspensions| {
+        Box::pin(async move {
+            system.submit(OWNER, watched_job());
+            // It ends before its lease.
+            sleep_ms(RUN_MS - 200).await;
+            suspensions.play(&system, OWNER).await;
+        })
+    });
+}
