Stop no run that was claimed in time while its owner was suspended

Callers: a task was stopped and run again, though its frontend had claimed the run. Cause: an owner that resumed compared the claim deadline with its clock and stopped the run before it read the claim, which had arrived in time. Change: a claim deadline has passed once everything that arrived by then was read. Evidence: a_run_that_was_claimed_during_a_suspension_is_not_stopped failed before with two runs, for a suspension of 460 ms.

--- a/crates/fleet/src/scheduler/mod.rs
+++ b/crates/fleet/src/scheduler/mod.rs
@@ -484,7 +484,9 @@
         let held: Vec<_> = self.0.held_targets.borrow().values().cloned().collect();
         for held in held {
             let state = held.state.borrow();
-            let unclaimed = |run: &Run| run.claim_deadline.is_some_and(|it| now >= it);
+            // A claim that arrived in time has been read.
+            let is_over = |deadline| now - deadline >= self.0.callers.age();
+            let unclaimed = |run: &Run| run.claim_deadline.is_some_and(is_over);
             let unclaimed_runs = state.runs.iter().filter(|(_, run)| unclaimed(run));
             let unclaimed_runs: Vec<RunKey> = unclaimed_runs.map(|(key, _)| *key).collect();
             drop(state);
--- a/crates/fleet/tests/sessions/suspension.rs
+++ b/crates/fleet/tests/sessions/suspension.rs
@@ -260,3 +260,37 @@
         })
     });
 }
+
+/// Guards against an owner that resumes and stops a run that nobody has claimed in time,
+/// although the claim came in time and waits to be read.
+#[test]
+fn a_run_that_was_claimed_during_a_suspension_is_not_stopped() {
+    for suspended_ms in [440, 460, 500, 550, 600] {
+        runtime::paused(async move {
+            let system = System::start(TWO_SINGLES).await;
+            system.submit(FRONT, rack_job(2, "rack-0"));
+            system.submit(FRONT, rack_job(3, "rack-1"));
+            sleep_ms(100).await;
+            system.submit(FRONT, watched_job());
+            sleep_ms(500).await;
+            let (running, _) = system.instances[OWNER].node.scheduler().task_counts();
+            assert_eq!(running, 1, "the owner runs the task");
+            system.mesh.reset();
+            // The owner learns of the reset, and is suspended before the claim.
+            for _ in 0..2 {
+                bluebellpath_runtime::runtime::yield_now().await;
+            }
+            system.suspend(OWNER);
+            sleep_ms(suspended_ms).await;
+            system.resume(OWNER);
+            sleep_ms(END_MS).await;
+            system.assert_no_violations();
+            assert_eq!(
+                system.answer(JOB),
+                Some(Answer::Completed),
+                "{suspended_ms}"
+            );
+            assert_eq!(system.started_runs(JOB), 1, "{suspended_ms} ms");
+        });
+    }
+}
