Release no target as silent that could not be heard

Seen: an instance dropped two targets that were well, 1 ms after it went on. Cause: an owner with more targets than it may hold makes room by releasing silent ones. It counted the suspension as their silence, and released up to two targets at the wake, before they were asked. Change: the silence of a target counts from the end of the last suspension, also for targets that are no longer listed and for readiness.

--- a/crates/fleet/src/scheduler/held_target.rs
+++ b/crates/fleet/src/scheduler/held_target.rs
@@ -245,9 +245,9 @@
     }
 
     /// Whether the target has not been heard for so long that waiting for it would keep
-    /// others from being used.
-    pub(super) fn is_silent(&self, now: Instant) -> bool {
-        now - self.state.borrow().last_heard > MAX_SILENCE
+    /// others from being used. This process could hear it since `running_since`.
+    pub(super) fn is_silent(&self, now: Instant, running_since: Instant) -> bool {
+        now - self.state.borrow().last_heard.max(running_since) > MAX_SILENCE
     }
 
     /// Whether the target is held with runs on it.
--- a/crates/fleet/src/scheduler/mod.rs
+++ b/crates/fleet/src/scheduler/mod.rs
@@ -260,15 +260,15 @@
         let mut silent_ids = self.0.silent_ids.borrow_mut();
         silent_ids.retain(|it| listed(it).is_some());
         drop(silent_ids);
-        let now = clock::now();
+        let (now, running_since) = (clock::now(), self.0.running_since());
         let held: Vec<_> = self.0.held_targets.borrow().values().cloned().collect();
         for held in held {
             let id = held.target.borrow().id.clone();
             match listed(&id) {
                 Some(target) => self.0.update_target(&held, &target),
                 None => {
-                    let is_silent =
-                        now - held.state.borrow().last_heard > self.0.config.unlisted_timeout;
+                    let heard_at = held.state.borrow().last_heard.max(running_since);
+                    let is_silent = now - heard_at > self.0.config.unlisted_timeout;
                     if is_silent {
                         self.0.release(&held, "no longer listed and silent");
                     }
@@ -338,7 +338,8 @@
         let is_synced = |it: &Rc<HeldTarget>| it.state.borrow().synced;
         let mut unsynced = held.values().filter(|it| !is_synced(it));
         let is_any_synced = held.is_empty() || held.values().any(is_synced);
-        is_any_synced && unsynced.all(|it| it.is_silent(now) || it.was_silent)
+        let running_since = self.0.running_since();
+        is_any_synced && unsynced.all(|it| it.is_silent(now, running_since) || it.was_silent)
     }
 
     /// Runs a task and waits for its outcome. `waiter` determines what happens to the
@@ -561,9 +562,10 @@
 
     /// A held target that has been silent for long and has no runs.
     fn silent_target(&self, now: Instant) -> Option<Rc<HeldTarget>> {
+        let running_since = self.running_since();
         let held = self.held_targets.borrow();
         let mut held = held.values();
-        held.find(|it| it.is_silent(now) && it.state.borrow().is_idle())
+        held.find(|it| it.is_silent(now, running_since) && it.state.borrow().is_idle())
             .cloned()
     }
 
--- a/crates/fleet/tests/sessions/suspension.rs
+++ b/crates/fleet/tests/sessions/suspension.rs
@@ -294,3 +294,26 @@
         });
     }
 }
+
+/// Guards against an owner that resumes and releases targets as silent, to make room for
+/// others, before it has asked them.
+#[test]
+fn targets_are_not_released_as_silent_after_a_suspension() {
+    const LAYOUT: Layout = Layout {
+        domains: 1,
+        instances: 1,
+        targets: 130,
+    };
+    for suspended_ms in [300, 1_100, 4_000] {
+        runtime::paused(async move {
+            let system = System::start(LAYOUT).await;
+            let scheduler = system.instances[0].node.scheduler();
+            let held = scheduler.target_ids();
+            system.suspend(0);
+            sleep_ms(suspended_ms).await;
+            system.resume(0);
+            sleep_ms(200).await;
+            assert_eq!(scheduler.target_ids(), held, "{suspended_ms} ms");
+        });
+    }
+}
