Let no owner go on with its old token at a target that has restarted

Cause: an instance was suspended and another one took its target over. The target restarted under its id, and forgot the token of the next owner. The first one went on, and its poll under the old token was obeyed. Until the next owner's long poll on the former incarnation ended, both started tasks there. Change: an owner that sees another incarnation, and can't rule out that the former one was taken over, polls again under a new token before it uses the target. The other owner is fenced off by it. Evidence: the log shows "target is held" under the token from before the suspension, and starts of two instances in one millisecond.

--- a/crates/fleet/src/scheduler/held_target.rs
+++ b/crates/fleet/src/scheduler/held_target.rs
@@ -149,6 +149,8 @@
     pub(super) acknowledged_end: u64,
     latest_status_ms: u64,
     incarnation_ms: Option<u64>,
+    /// Last incarnation that has answered, whether or not its status was applied.
+    answered_incarnation_ms: Option<u64>,
     /// Last incarnation that was listed as shutting down.
     pub(super) draining_incarnation_ms: Option<u64>,
     pub(super) runs: BTreeMap<RunKey, Run>,
@@ -187,6 +189,7 @@
                 acknowledged_end: 0,
                 latest_status_ms: 0,
                 incarnation_ms: None,
+                answered_incarnation_ms: None,
                 draining_incarnation_ms: None,
                 runs: BTreeMap::new(),
                 unclaimed_ends: VecDeque::new(),
@@ -314,6 +317,15 @@
         self.runs.is_empty() && self.suspects.is_empty()
     }
 
+    /// Whether `status` is the first one of an incarnation that has replaced another.
+    pub(super) fn is_first_of_incarnation(&mut self, status: &Status) -> bool {
+        let Some(incarnation_ms) = status.incarnation_ms else {
+            return false;
+        };
+        let last = self.answered_incarnation_ms.replace(incarnation_ms);
+        last.is_some_and(|it| it != incarnation_ms)
+    }
+
     /// End of a lease of `duration` from `now` on the clock of the target, in
     /// milliseconds. `None` if the clock is unknown.
     pub(super) fn lease_end_ms(&self, now: Instant, duration: Duration) -> Option<u64> {
--- a/crates/fleet/src/scheduler/poll_loop.rs
+++ b/crates/fleet/src/scheduler/poll_loop.rs
@@ -15,7 +15,7 @@
 
 use super::{
     Shared,
-    held_target::{HeldTarget, Phase, millis},
+    held_target::{HeldTarget, Phase, State, millis},
 };
 use crate::{
     InjectedFault,
@@ -70,6 +70,9 @@
                     info!(shared.log, "target answers again"; "target" => %target.id);
                 }
                 token_steps = 0;
+                if renew_token(&shared, &held, &status) {
+                    continue;
+                }
                 handle_status(&shared, &held, poll, sent_at, &status);
                 held.answered_polls.set(requested);
                 held.poll_answered.notify();
@@ -141,7 +144,9 @@
         let polling = shared.target_client.poll(&target, poll);
         match select(polling, std::pin::pin!(held.poll_requested.notified())).await {
             Either::Left((Ok(status), _)) if !held.released.get() => {
-                handle_status(&shared, &held, poll, sent_at, &status);
+                if !renew_token(&shared, &held, &status) {
+                    handle_status(&shared, &held, poll, sent_at, &status);
+                }
             }
             Either::Left(_) => clock::sleep(RETRY_DELAY).await,
             Either::Right(_) => {}
@@ -150,6 +155,38 @@
     held.has_backup.set(false);
 }
 
+/// Takes a new token if `status` is the first one of another incarnation and another owner
+/// may have taken the former one over unnoticed. The new incarnation knows no token, so
+/// that it would obey both owners. Returns whether the token is new.
+fn renew_token(shared: &Rc<Shared>, held: &Rc<HeldTarget>, status: &Status) -> bool {
+    let mut state = held.state.borrow_mut();
+    if !state.is_first_of_incarnation(status) || unnoticed_time(shared, held, &state).is_zero() {
+        return false;
+    }
+    let id = held.target.borrow().id.clone();
+    let Some(token) = shared.next_token(&id, 0) else {
+        return false;
+    };
+    info!(shared.log, "target has restarted and may have another owner"; "target" => %id,
+        "fence" => token, "fence_before" => state.fencing_token);
+    state.fencing_token = token.max(state.fencing_token);
+    state.synced = false;
+    true
+}
+
+/// Longest time for which another owner may keep runs on a target alive unnoticed.
+fn unnoticed_time(shared: &Shared, held: &HeldTarget, state: &State) -> Duration {
+    let limits = Limits {
+        claim_timeout: shared.config.claim_timeout,
+        lease: longest_lease(shared.config.lease),
+    };
+    limits.unnoticed_time(
+        shared.hearing.borrow().as_ref(),
+        &held.target.borrow().domain,
+        state.confirmed_at,
+    )
+}
+
 /// Applies the answer to a poll that was sent at `sent_at`.
 fn handle_status(
     shared: &Rc<Shared>,
@@ -255,17 +292,9 @@
         shared.apply_events(held, events);
         return;
     }
-    let limits = Limits {
-        claim_timeout: shared.config.claim_timeout,
-        lease: longest_lease(shared.config.lease),
-    };
     let takeover_time = match fate {
         Fate::Refusing => Duration::ZERO,
-        _ => limits.unnoticed_time(
-            shared.hearing.borrow().as_ref(),
-            &held.target.borrow().domain,
-            state.confirmed_at,
-        ),
+        _ => unnoticed_time(shared, held, &state),
     };
     if state.runs.is_empty() || clock::now() < state.lease_end + takeover_time {
         let suspicion = match fate {
--- a/crates/fleet/tests/sessions/suspension.rs
+++ b/crates/fleet/tests/sessions/suspension.rs
@@ -317,3 +317,40 @@
         });
     }
 }
+
+/// Guards against an owner that resumes and goes on with its old token at a target that
+/// has restarted under its id, and that has forgotten the token of the next owner.
+#[test]
+fn a_target_that_restarted_during_a_suspension_has_one_owner() {
+    const LAYOUT: Layout = Layout {
+        domains: 3,
+        instances: 1,
+        targets: 4,
+    };
+    for suspended_ms in (900..2_500).step_by(200) {
+        for load_ms in [0, 10, 20, 40, 60, 100] {
+            runtime::paused(async move {
+                let system = System::start(LAYOUT).await;
+                let owned = system.instances[0].node.scheduler().target_ids();
+                system.suspend(0);
+                sleep_ms(suspended_ms).await;
+                owned.iter().for_each(|it| system.targets.restart(it));
+                system.resume(0);
+                sleep_ms(load_ms).await;
+                for job in 0..9 {
+                    let spec = JobSpec {
+                        job,
+                        tasks: 6,
+                        ..JobSpec::default()
+                    };
+                    let number = usize::try_from(job).expect("small") % LAYOUT.domains;
+                    system.submit(number, spec);
+                }
+                sleep_ms(END_MS).await;
+                let violations = system.violations();
+                let case = format!("{suspended_ms} ms, load after {load_ms} ms");
+                assert_eq!(violations, Vec::<String>::new(), "{case}");
+            });
+        }
+    }
+}
