Search long suspensions, racks and single instances at random

Cause: random sessions drew suspensions of up to 2.5 s, and no job with its data in a rack; no layout had two domains of one instance, no caller left meanwhile. Takeovers are also played after silences of 2.5 to 5.5 s.

--- a/crates/fleet/src/injected_fault.rs
+++ b/crates/fleet/src/injected_fault.rs
@@ -19,8 +19,8 @@
     AcceptForeignRequest,
     /// A run is started on a target that the owner lost since the request was sent.
     StartAfterLoss,
-    /// A task is started although its frontend may have given the run up.
-    StartUnasked,
+    /// Runs are started and kept alive although they may have been given up.
+    EndlessPermission,
     /// Tasks that crash their targets are run like others.
     IgnoreCrashes,
     /// An older configuration replaces a newer one.
--- a/crates/fleet/src/permission.rs
+++ b/crates/fleet/src/permission.rs
@@ -95,6 +95,14 @@
         lease.min(lease_within(time_left))
     }
 
+    /// Permission that never ends, for an injected fault.
+    pub(crate) fn without_end() -> Permission {
+        Permission {
+            contact: Contact::default(),
+            term: Duration::MAX,
+        }
+    }
+
     /// Time since the other side certainly waited.
     pub fn contact_age(&self) -> Duration {
         self.contact.age()
--- a/crates/fleet/src/scheduler/mod.rs
+++ b/crates/fleet/src/scheduler/mod.rs
@@ -389,8 +389,7 @@
     /// Whether a task of a caller of this instance may be started. After a suspension
     /// the connections of the callers are read first.
     pub fn may_start_for_callers(&self) -> bool {
-        self.0.config.injected_fault == Some(InjectedFault::StartUnasked)
-            || self.0.permission(&Waiter::Caller).allows_start()
+        self.0.permission(&Waiter::Caller).allows_start()
     }
 
     /// Stops a run or removes it from the backlog.
@@ -686,6 +685,9 @@
 
     /// Permission to act for `waiter`.
     fn permission(&self, waiter: &Waiter) -> Permission {
+        if self.config.injected_fault == Some(InjectedFault::EndlessPermission) {
+            return Permission::without_end();
+        }
         match waiter {
             Waiter::Caller => Permission::new(self.callers.clone(), RESUBMISSION_DELAY),
             Waiter::Peer(contact) => Permission::new(contact.clone(), self.config.give_up_time),
@@ -694,9 +696,6 @@
 
     /// Whether those who wait for a task certainly still count on its start here.
     fn may_start(&self, queued: &QueuedRun) -> bool {
-        if self.config.injected_fault == Some(InjectedFault::StartUnasked) {
-            return true;
-        }
         let may_start = queued.permission.allows_start();
         if !may_start && !queued.is_withheld.replace(true) {
             info!(self.log, "task may not start until its front is heard";
--- a/crates/fleet/src/scheduler/run_control.rs
+++ b/crates/fleet/src/scheduler/run_control.rs
@@ -10,7 +10,6 @@
     held_target::{HeldTarget, Phase, Run, RunKey},
 };
 use crate::{
-    InjectedFault,
     backlog::Position,
     messages::{NotStartedReason, RunOutcome},
     target_client::{RequestError, StartRequest},
@@ -30,10 +29,8 @@
     let mut state = held.state.borrow_mut();
     // The order may leave any time later, and has no effect after the end of its lease.
     let now = clock::now();
-    let mut lease = state.longest_renewal(shared.config.lease);
-    if shared.config.injected_fault != Some(InjectedFault::StartUnasked) {
-        lease = queued.permission.longest_lease(lease);
-    }
+    let lease = state.longest_renewal(shared.config.lease);
+    let lease = queued.permission.longest_lease(lease);
     let Some(lease_end_ms) = state.lease_end_ms(now, lease) else {
         // A lease requires the clock of the target; the next poll reports it.
         drop(state);
--- a/crates/fleet/tests/sessions/herd.rs
+++ b/crates/fleet/tests/sessions/herd.rs
@@ -1,12 +1,16 @@
 //! Sessions with many instances killed at a moment, restarts one after the other, and
 //! callers that submit their jobs again, reproducible by seed.
 //!
+//! In the sessions of seeds from [`SUSPENSION_SEEDS`] on, instances are also suspended for
+//! longer than a frontend counts on them, callers leave meanwhile, jobs have their data in
+//! racks, and some domains have one instance.
+//!
 //! `HERD_SEEDS=A-B` runs a range without `B` to its end on `HERD_JOBS` threads, and
 //! prints the violations of each seed; `SESSION_LOG` prints the log.
 
 use std::{collections::BTreeMap, rc::Rc};
 
-use bluebellpath_fleet::frontend::Answer;
+use bluebellpath_fleet::{InjectedFault, frontend::Answer};
 use bluebellpath_runtime::{Scope, runtime};
 use bluebellpath_standin::Mishap;
 
@@ -18,6 +22,12 @@
 /// Seeds of each test run.
 const SEEDS: std::ops::Range<u64> = 0..60;
 
+/// First seed of the sessions with long suspensions.
+const SUSPENSION_SEEDS: u64 = 1_000_000_000;
+
+/// Number of sessions with long suspensions in each test run.
+const SUSPENSION_SESSIONS: u64 = 60;
+
 /// Seed that failed before, and the cause.
 const REGRESSION_SEEDS: [(u64, &str); 1] = [(
     263,
@@ -58,6 +68,27 @@
     },
 ];
 
+const SUSPENSION_LAYOUTS: [Layout; 3] = [
+    Layout {
+        domains: 2,
+        instances: 1,
+        targets: 4,
+    },
+    Layout {
+        domains: 3,
+        instances: 1,
+        targets: 4,
+    },
+    Layout {
+        domains: 2,
+        instances: 2,
+        targets: 4,
+    },
+];
+
+/// Racks of the targets in any of these layouts.
+const RACKS: [&str; 4] = ["rack-0", "rack-1", "rack-2", "rack-3"];
+
 #[derive(Clone, Debug)]
 enum Event {
     Kill(usize),
@@ -69,6 +100,8 @@
     Restart(Rc<str>),
     Reset,
     Partition(usize, bool),
+    /// The callers of an instance leave.
+    HangUp(usize),
 }
 
 /// Job of a caller that has no answer yet.
@@ -77,6 +110,7 @@
     submissions: u32,
     /// Process that has the job.
     process: Scope,
+    instance: usize,
     resubmit_at: Option<u64>,
 }
 
@@ -84,6 +118,7 @@
     system: System,
     rng: Rng,
     layout: Layout,
+    step: u64,
     events: BTreeMap<u64, Vec<Event>>,
     open: BTreeMap<u64, Open>,
     /// Jobs of which every submission was refused.
@@ -104,6 +139,23 @@
         self.layout.domains * self.layout.instances
     }
 
+    /// Draws suspensions of an instance, one or two in a row.
+    fn draw_suspension(&mut self, step: u64) {
+        let instances = self.instances();
+        let number = self.rng.index(instances);
+        let mut start = step;
+        for _ in 0..=self.rng.below(2) {
+            let end = start + self.steps(300, 4_500);
+            self.at(start, Event::Suspend(number));
+            self.at(end, Event::Resume(number));
+            if self.rng.below(2) == 0 {
+                let left = start + 1 + self.rng.below(end - start);
+                self.at(left, Event::HangUp(number));
+            }
+            start = end + 1 + self.rng.below(20);
+        }
+    }
+
     /// Draws a fault that begins at `step`, and its end.
     fn draw_fault(&mut self, step: u64) {
         let instances = self.instances();
@@ -178,6 +230,14 @@
             Event::Partition(domain, cut) => {
                 system.set_partitioned(&format!("domain-{domain}"), cut);
             }
+            Event::HangUp(number) => {
+                for (job, open) in &mut self.open {
+                    if open.instance == number && open.resubmit_at.is_none() {
+                        system.hang_up(number, *job);
+                        open.resubmit_at = Some(self.step + RESUBMIT_STEPS);
+                    }
+                }
+            }
         }
     }
 
@@ -194,6 +254,7 @@
             spec,
             submissions: submissions + 1,
             process: self.system.instances[number].scope.clone(),
+            instance: number,
             resubmit_at: None,
         };
         self.open.insert(spec.job, open);
@@ -219,25 +280,36 @@
     }
 }
 
-fn run(seed: u64) -> Vec<String> {
+/// Runs a session and returns the violations of invariants.
+pub fn run(seed: u64, injected_fault: Option<InjectedFault>) -> Vec<String> {
     runtime::paused(async move {
         let mut rng = Rng(seed);
-        let layout = LAYOUTS[rng.index(LAYOUTS.len())];
-        let system = System::start(layout).await;
+        let has_suspensions = seed >= SUSPENSION_SEEDS;
+        let layouts = match has_suspensions {
+            true => SUSPENSION_LAYOUTS,
+            false => LAYOUTS,
+        };
+        let layout = layouts[rng.index(layouts.len())];
+        let system = System::start_with(layout, injected_fault).await;
         let mut session = Session {
             system,
             rng,
             layout,
+            step: 0,
             events: BTreeMap::new(),
             open: BTreeMap::new(),
             refused: Vec::new(),
         };
         let mut job = 0;
         for step in 0..STEPS {
+            session.step = step;
             if step < BUSY_STEPS {
                 if session.rng.below(100) == 0 {
                     session.draw_fault(step);
                 }
+                if has_suspensions && session.rng.below(100) == 0 {
+                    session.draw_suspension(step);
+                }
                 if session.rng.below(8) == 0 {
                     job += 1;
                     let spec = JobSpec {
@@ -245,6 +317,7 @@
                         tasks: 1 + u16::try_from(session.rng.below(6)).expect("small"),
                         run_ms: [60, 200, 900, 2_500, 4_000][session.rng.index(5)],
                         deadline_ms: 1_500 + session.rng.below(7_000),
+                        rack: has_suspensions.then(|| RACKS[session.rng.index(RACKS.len())]),
                         ..JobSpec::default()
                     };
                     session.submit(spec, 0);
@@ -283,16 +356,38 @@
         }
         None => {
             for (seed, cause) in REGRESSION_SEEDS {
-                assert_eq!(run(seed), Vec::<String>::new(), "{cause}");
+                assert_eq!(run(seed, None), Vec::<String>::new(), "{cause}");
             }
             SEEDS
         }
     };
+    sweep(seeds);
+}
+
+#[test]
+fn no_long_suspension_breaks_a_promise() {
+    sweep(SUSPENSION_SEEDS..SUSPENSION_SEEDS + SUSPENSION_SESSIONS);
+}
+
+#[test]
+fn long_suspensions_detect_an_endless_permission() {
+    let seeds = SUSPENSION_SEEDS..SUSPENSION_SEEDS + SUSPENSION_SESSIONS;
+    let injected_fault = Some(InjectedFault::EndlessPermission);
+    let found = seeds.clone().find(|seed| {
+        let violations = run(*seed, injected_fault);
+        violations.iter().any(|it| it.contains("beside run"))
+    });
+    println!("detected by seed {found:?}");
+    assert!(found.is_some(), "the injected fault was not detected");
+}
+
+/// Runs all seeds and fails if one of them failed.
+fn sweep(seeds: std::ops::Range<u64>) {
     let jobs = parse_number(std::env::var("HERD_JOBS").ok().as_deref()).unwrap_or(1);
     let run_share = |job: u64| {
         let mut failed = 0;
         for seed in seeds.clone().filter(|it| it % jobs == job) {
-            let violations = run(seed);
+            let violations = run(seed, None);
             if !violations.is_empty() {
                 println!("seed {seed}: {violations:#?}");
                 failed += 1;
--- a/crates/fleet/tests/sessions/suspension.rs
+++ b/crates/fleet/tests/sessions/suspension.rs
@@ -4,6 +4,7 @@
 
 use bluebellpath_fleet::frontend::Answer;
 use bluebellpath_runtime::{LocalFuture, runtime, spawn};
+use bluebellpath_standin::Mishap;
 
 use crate::system::{JobSpec, Layout, System, sleep_ms};
 
@@ -164,6 +165,39 @@
     });
 }
 
+/// Guards against an owner that resumes and starts a task again whose start was refused or
+/// got no answer, though its frontend has given the run up.
+#[test]
+fn a_task_that_was_put_back_does_not_start_beside_its_next_run() {
+    for mishap in [Mishap::Refuse, Mishap::Mute, Mishap::Dark] {
+        for suspended_ms in [600, 1_100, 1_600, 2_400, 3_000, 4_000, 5_500] {
+            runtime::paused(async move {
+                let system = System::start(TWO_SINGLES).await;
+                let owned = system.instances[OWNER].node.scheduler().target_ids();
+                system.submit(FRONT, rack_job(2, "rack-0"));
+                system.submit(FRONT, rack_job(3, "rack-1"));
+                sleep_ms(100).await;
+                let set_mishap = |mishap| {
+                    owned
+                        .iter()
+                        .for_each(|it| system.targets.set_mishap(it, mishap));
+                };
+                set_mishap(mishap);
+                system.submit(FRONT, watched_job());
+                sleep_ms(5).await;
+                system.suspend(OWNER);
+                sleep_ms(suspended_ms).await;
+                set_mishap(Mishap::None);
+                system.resume(OWNER);
+                sleep_ms(END_MS).await;
+                system.assert_no_violations();
+                let case = format!("{mishap:?}, {suspended_ms} ms");
+                assert_eq!(system.answer(JOB), Some(Answer::Completed), "{case}");
+            });
+        }
+    }
+}
+
 /// Lets the caller of the watched job leave `number` soon, and submit the job at `other`.
 fn resubmit_elsewhere(system: &Rc<System>, number: usize, other: usize) {
     let system = system.clone();
--- a/crates/fleet/tests/sessions/takeover.rs
+++ b/crates/fleet/tests/sessions/takeover.rs
@@ -161,20 +161,26 @@
 /// proof that nobody had taken its targets over.
 #[test]
 fn a_run_that_the_next_owner_keeps_is_not_given_up_by_the_last_one() {
-    check(Phase::First);
+    check(Phase::First, (600..=2_000).step_by(200));
+}
+
+/// Like the last one, for silences up to and beyond the longest suspension.
+#[test]
+fn a_run_that_the_next_owner_keeps_outlives_a_long_silence_of_the_last_one() {
+    check(Phase::First, (2_500..=5_500).step_by(500));
 }
 
 /// Like the last one. Guards against tasks that are not started again, until their
 /// caller's time is over.
 #[test]
 fn runs_beside_a_silent_owner_end_in_any_phase_of_the_heartbeats() {
-    check(Phase::Second);
+    check(Phase::Second, (600..=2_000).step_by(200));
 }
 
-fn check(phase: Phase) {
+fn check(phase: Phase, silences_ms: impl Iterator<Item = u64> + Clone) {
     let mut failures = Vec::new();
     for case in &CASES {
-        for silent_ms in (600..=2_000).step_by(200) {
+        for silent_ms in silences_ms.clone() {
             for lead_ms in (0..=600).step_by(100) {
                 let violations = run(case, phase, silent_ms, lead_ms);
                 if let Some(first) = violations.first() {
