Take no refused connection for a proof that a target has no other owner

Cause: the owner that was cut off gave its runs up at the end of its own lease. For a refused connection it left out the time for which the next owner, which reached the target, kept them alive. A refusal says that this instance has no path. Change: the same time is waited whatever way no answer came.

--- a/crates/fleet/src/scheduler/poll_loop.rs
+++ b/crates/fleet/src/scheduler/poll_loop.rs
@@ -270,8 +270,8 @@
 /// another incarnation has answered.
 ///
 /// An owner that is cut off does not learn that another one has taken the target over
-/// and has renewed the lease until it stops the unclaimed runs. A target that refuses
-/// connections has no other owner either.
+/// and has renewed the lease until it stops the unclaimed runs. A refused connection is
+/// no proof that the target is gone, as a cut may refuse as well.
 fn handle_no_answer(shared: &Rc<Shared>, held: &Rc<HeldTarget>, error: RequestError) {
     let replaced = error == RequestError::Restarted;
     let fate = match error {
@@ -292,10 +292,7 @@
         shared.apply_events(held, events);
         return;
     }
-    let takeover_time = match fate {
-        Fate::Refusing => Duration::ZERO,
-        _ => unnoticed_time(shared, held, &state),
-    };
+    let takeover_time = unnoticed_time(shared, held, &state);
     if state.runs.is_empty() || clock::now() < state.lease_end + takeover_time {
         let suspicion = match fate {
             Fate::Refusing => state.suspect_runs(loss),
--- a/crates/fleet/tests/sessions/takeover.rs
+++ b/crates/fleet/tests/sessions/takeover.rs
@@ -46,6 +46,12 @@
     targets: 4,
 };
 
+const FOUR_SINGLES: Layout = Layout {
+    domains: 4,
+    instances: 1,
+    targets: 4,
+};
+
 const CASES: [Case; 6] = [
     Case {
         name: "suspended, and its peer is the frontend",
@@ -194,3 +200,51 @@
     }
     assert!(failures.is_empty(), "{failures:#?}");
 }
+
+/// Guards against an owner that is cut off and takes refused connections for a proof that
+/// its targets have no other owner, though the next one keeps their runs alive.
+#[test]
+fn a_run_behind_a_cut_that_refuses_connections_is_not_given_up_early() {
+    let mut failures = Vec::new();
+    let leads_ms = [0, 150, 300];
+    for refuses in [false, true] {
+        for (lead_ms, run_before_ms) in leads_ms
+            .into_iter()
+            .flat_map(|it| (0..=450).step_by(50).map(move |before| (it, before)))
+        {
+            let violations = runtime::paused(async move {
+                let system = System::start(FOUR_SINGLES).await;
+                if refuses {
+                    system.targets.refuse_over_cuts();
+                }
+                // The instances of the other domains own its targets.
+                system.kill(3);
+                sleep_ms(1_500).await;
+                for (job, rack) in [(1, "rack-6"), (2, "rack-7")] {
+                    let spec = JobSpec {
+                        job,
+                        run_ms: RUN_MS,
+                        deadline_ms: 20_000,
+                        rack: Some(rack),
+                        ..JobSpec::default()
+                    };
+                    system.submit(1, spec);
+                }
+                sleep_ms(RUN_BEFORE_MS + run_before_ms).await;
+                // Its way to the targets may end before that to its peers.
+                system.targets.cut("domain-1", "domain-3", true);
+                sleep_ms(lead_ms).await;
+                system.set_partitioned("domain-1", true);
+                system.mesh.reset();
+                sleep_ms(3 * RUN_MS).await;
+                system.violations()
+            });
+            if let Some(first) = violations.first() {
+                failures.push(format!(
+                    "refuses: {refuses}, {lead_ms} ms, {run_before_ms} ms: {first}"
+                ));
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
--- a/crates/standin/src/yard.rs
+++ b/crates/standin/src/yard.rs
@@ -45,6 +45,8 @@
     Mute,
     /// It answers nobody, and what runs there goes on.
     Dark,
+    /// It refuses connections, and what runs there goes on.
+    Closed,
     /// It refuses all starts.
     Refuse,
     /// What is started there never ends.
@@ -84,6 +86,8 @@
     /// [`CRASHES`] of them.
     crashes: RefCell<BTreeMap<TaskId, (u32, u32)>>,
     cuts: RefCell<BTreeSet<(Rc<str>, Rc<str>)>>,
+    /// Whether orders over a cut are refused rather than lost.
+    cuts_refuse: Cell<bool>,
     /// Orders to each target, whether or not they reach it.
     orders: RefCell<BTreeMap<Rc<str>, u64>>,
 }
@@ -214,6 +218,11 @@
         };
     }
 
+    /// Lets cuts refuse connections, instead of losing what is sent.
+    pub fn refuse_over_cuts(&self) {
+        self.0.cuts_refuse.set(true);
+    }
+
     /// What went wrong so far.
     pub fn violations(&self) -> Vec<String> {
         self.0.violations.borrow().clone()
@@ -467,7 +476,11 @@
         clock::sleep(WAY).await;
         let state = self.yard.state(id).ok_or(RequestError::Unknown)?;
         let cut = (self.domain.clone(), state.target.borrow().domain.clone());
-        if self.yard.0.cuts.borrow().contains(&cut) || state.mishap.get() == Mishap::Dark {
+        let is_cut = self.yard.0.cuts.borrow().contains(&cut);
+        if is_cut && self.yard.0.cuts_refuse.get() || state.mishap.get() == Mishap::Closed {
+            return Err(RequestError::Refused);
+        }
+        if is_cut || state.mishap.get() == Mishap::Dark {
             clock::sleep(ANSWER).await;
             return Err(RequestError::Unknown);
         }
@@ -508,7 +521,7 @@
                     Err(RequestError::Unknown)
                 }
                 Mishap::Refuse => Err(RequestError::Unhealthy),
-                Mishap::None | Mishap::Dark | Mishap::Hang | Mishap::Lossy(_) => {
+                Mishap::None | Mishap::Dark | Mishap::Closed | Mishap::Hang | Mishap::Lossy(_) => {
                     let begun = hand.yard.begin(&state, &start);
                     clock::sleep(WAY).await;
                     begun
