Cut off domains by refusals and in one direction in sessions

Tests: takeover.rs plays its cut in all four kinds, and a second new owner after it; herd.rs draws cuts from seed 2,000,000,000 on (no_cut_breaks_a_promise). Seeds below draw as before. Changes of tests that stood: main.rs follows the signature of Yard::cut; run_cut of takeover.rs takes the kind of the cut in place of a flag, with the same cases.

--- a/crates/fleet/tests/sessions/herd.rs
+++ b/crates/fleet/tests/sessions/herd.rs
@@ -5,6 +5,10 @@
 //! longer than a frontend counts on them, callers leave meanwhile, jobs have their data in
 //! racks, and some domains have one instance.
 //!
+//! In those of seeds from [`CUT_SEEDS`] on, domains are cut off besides: silently, by
+//! resets and refused connections, or in one direction, mostly while another domain has
+//! lost its instances.
+//!
 //! `HERD_SEEDS=A-B` runs a range without `B` to its end on `HERD_JOBS` threads, and
 //! prints the violations of each seed; `SESSION_LOG` prints the log.
 
@@ -16,7 +20,7 @@
 
 use crate::{
     random::{Rng, parse_number},
-    system::{JobSpec, Layout, System, sleep_ms},
+    system::{CutKind, JobSpec, Layout, System, sleep_ms},
 };
 
 /// Seeds of each test run.
@@ -28,6 +32,12 @@
 /// Number of sessions with long suspensions in each test run.
 const SUSPENSION_SESSIONS: u64 = 60;
 
+/// First seed of the sessions with cuts.
+const CUT_SEEDS: u64 = 2_000_000_000;
+
+/// Number of sessions with cuts in each test run.
+const CUT_SESSIONS: u64 = 60;
+
 /// Seed that failed before, and the cause.
 const REGRESSION_SEEDS: [(u64, &str); 1] = [(
     263,
@@ -86,6 +96,24 @@
     },
 ];
 
+const CUT_LAYOUTS: [Layout; 3] = [
+    Layout {
+        domains: 4,
+        instances: 1,
+        targets: 4,
+    },
+    Layout {
+        domains: 3,
+        instances: 1,
+        targets: 4,
+    },
+    Layout {
+        domains: 3,
+        instances: 2,
+        targets: 4,
+    },
+];
+
 /// Racks of the targets in any of these layouts.
 const RACKS: [&str; 4] = ["rack-0", "rack-1", "rack-2", "rack-3"];
 
@@ -100,6 +128,10 @@
     Restart(Rc<str>),
     Reset,
     Partition(usize, bool),
+    /// A domain is cut off, or reached again.
+    CutOff(usize, Option<CutKind>),
+    /// A domain is cut off from the targets of another one, or reaches them again.
+    CutTargets(usize, usize, Option<CutKind>),
     /// The callers of an instance leave.
     HangUp(usize),
 }
@@ -156,6 +188,33 @@
         }
     }
 
+    /// Draws a cut of a domain, mostly while another one has lost its instances.
+    fn draw_cut(&mut self, step: u64) {
+        let domains = self.layout.domains;
+        let domain = self.rng.index(domains);
+        let other = (domain + 1 + self.rng.index(domains - 1)) % domains;
+        let kind = CutKind::ALL[self.rng.index(CutKind::ALL.len())];
+        let mut cut = step;
+        if self.rng.below(4) > 0 {
+            let back = step + self.steps(800, 4_000);
+            let first = other * self.layout.instances;
+            for number in first..first + self.layout.instances {
+                self.at(step, Event::Kill(number));
+                self.at(back, Event::Start(number));
+            }
+            cut += self.steps(0, 2_000);
+        }
+        let heal = cut + self.steps(300, 5_600);
+        if self.rng.below(2) == 0 {
+            // The way to some targets ends before that to its peers.
+            let early = cut.saturating_sub(self.steps(0, 600));
+            self.at(early, Event::CutTargets(domain, other, Some(kind)));
+        }
+        self.at(cut, Event::CutOff(domain, Some(kind)));
+        self.at(heal, Event::CutTargets(domain, other, None));
+        self.at(heal, Event::CutOff(domain, None));
+    }
+
     /// Draws a fault that begins at `step`, and its end.
     fn draw_fault(&mut self, step: u64) {
         let instances = self.instances();
@@ -230,6 +289,11 @@
             Event::Partition(domain, cut) => {
                 system.set_partitioned(&format!("domain-{domain}"), cut);
             }
+            Event::CutOff(domain, kind) => system.cut_off(&format!("domain-{domain}"), kind),
+            Event::CutTargets(domain, other, kind) => {
+                let (domain, other) = (format!("domain-{domain}"), format!("domain-{other}"));
+                system.cut_targets(&domain, &other, kind);
+            }
             Event::HangUp(number) => {
                 for (job, open) in &mut self.open {
                     if open.instance == number && open.resubmit_at.is_none() {
@@ -284,10 +348,12 @@
 pub fn run(seed: u64, injected_fault: Option<InjectedFault>) -> Vec<String> {
     runtime::paused(async move {
         let mut rng = Rng(seed);
-        let has_suspensions = seed >= SUSPENSION_SEEDS;
-        let layouts = match has_suspensions {
-            true => SUSPENSION_LAYOUTS,
-            false => LAYOUTS,
+        let has_suspensions = (SUSPENSION_SEEDS..CUT_SEEDS).contains(&seed);
+        let has_cuts = seed >= CUT_SEEDS;
+        let layouts = match (has_cuts, has_suspensions) {
+            (true, _) => CUT_LAYOUTS,
+            (false, true) => SUSPENSION_LAYOUTS,
+            (false, false) => LAYOUTS,
         };
         let layout = layouts[rng.index(layouts.len())];
         let system = System::start_with(layout, injected_fault).await;
@@ -310,6 +376,9 @@
                 if has_suspensions && session.rng.below(100) == 0 {
                     session.draw_suspension(step);
                 }
+                if has_cuts && session.rng.below(100) == 0 {
+                    session.draw_cut(step);
+                }
                 if session.rng.below(8) == 0 {
                     job += 1;
                     let spec = JobSpec {
@@ -317,7 +386,8 @@
                         tasks: 1 + u16::try_from(session.rng.below(6)).expect("small"),
                         run_ms: [60, 200, 900, 2_500, 4_000][session.rng.index(5)],
                         deadline_ms: 1_500 + session.rng.below(7_000),
-                        rack: has_suspensions.then(|| RACKS[session.rng.index(RACKS.len())]),
+                        rack: (has_suspensions || has_cuts)
+                            .then(|| RACKS[session.rng.index(RACKS.len())]),
                         ..JobSpec::default()
                     };
                     session.submit(spec, 0);
@@ -369,6 +439,11 @@
     sweep(SUSPENSION_SEEDS..SUSPENSION_SEEDS + SUSPENSION_SESSIONS);
 }
 
+#[test]
+fn no_cut_breaks_a_promise() {
+    sweep(CUT_SEEDS..CUT_SEEDS + CUT_SESSIONS);
+}
+
 #[test]
 fn long_suspensions_detect_an_endless_permission() {
     let seeds = SUSPENSION_SEEDS..SUSPENSION_SEEDS + SUSPENSION_SESSIONS;
--- a/crates/fleet/tests/sessions/main.rs
+++ b/crates/fleet/tests/sessions/main.rs
@@ -23,7 +23,7 @@
 
 use bluebellpath_fleet::frontend::Answer;
 use bluebellpath_runtime::runtime;
-use bluebellpath_standin::Mishap;
+use bluebellpath_standin::{Cut, Mishap};
 
 use self::system::{CORES, JobSpec, Layout, SMALL, System, sleep_ms, target};
 
@@ -560,10 +560,12 @@
         system.instances[0].node.leave();
         sleep_ms(2_000).await;
         // The next owners cannot reach the targets for a while.
-        system.targets.cut("domain-1", "domain-0", true);
+        system
+            .targets
+            .cut("domain-1", "domain-0", Some(Cut::Silent));
         system.instances[1].node.leave();
         sleep_ms(150).await;
-        system.targets.cut("domain-1", "domain-0", false);
+        system.targets.cut("domain-1", "domain-0", None);
         sleep_ms(8_000).await;
         assert_eq!(system.answer(1), Some(Answer::Completed));
         assert_eq!(system.started_runs(1), 4);
--- a/crates/fleet/tests/sessions/system.rs
+++ b/crates/fleet/tests/sessions/system.rs
@@ -20,7 +20,7 @@
     table_watch::{InstanceRow, OperatorRow, Watcher},
 };
 use bluebellpath_runtime::{LocalFuture, Notify, Scope, clock};
-use bluebellpath_standin::{Feed, Identities, Mesh, Yard};
+use bluebellpath_standin::{Cut, Feed, Identities, Mesh, Yard};
 use futures_util::future::{Either, select};
 use slog::{Drain, KV, Key, Logger, OwnedKVList, Record, Serializer, o};
 
@@ -249,17 +249,46 @@
 
     /// Partitions a failure domain from all others, or ends the partition.
     pub fn set_partitioned(&self, domain: &str, partitioned: bool) {
+        self.cut_off(domain, partitioned.then_some(CutKind::Silent));
+    }
+
+    /// Cuts a failure domain off from all others, or ends that.
+    pub fn cut_off(&self, domain: &str, kind: Option<CutKind>) {
         for a in &self.instances {
             for b in &self.instances {
                 if a.domain == domain && b.domain != domain {
-                    self.mesh.cut(a.address, b.address, partitioned);
-                    self.targets.cut(&a.domain, &b.domain, partitioned);
-                    self.targets.cut(&b.domain, &a.domain, partitioned);
+                    self.cut_instances(a.address, b.address, kind);
+                    self.cut_targets(&a.domain, &b.domain, kind);
                 }
             }
         }
     }
 
+    fn cut_instances(&self, cut_off: SocketAddr, other: SocketAddr, kind: Option<CutKind>) {
+        self.mesh.refuse(cut_off, other, false);
+        match kind {
+            Some(CutKind::Silent) => self.mesh.cut(cut_off, other, true),
+            Some(CutKind::Refusing) => self.mesh.refuse(cut_off, other, true),
+            Some(CutKind::Deaf) => self.mesh.cut_one_way(other, cut_off, true),
+            Some(CutKind::Unheard) => self.mesh.cut_one_way(cut_off, other, true),
+            None => {}
+        }
+    }
+
+    /// Cuts a failure domain off from the targets of another one and the other way round,
+    /// or ends that.
+    pub fn cut_targets(&self, cut_off: &str, other: &str, kind: Option<CutKind>) {
+        let (out_of, into) = match kind {
+            Some(CutKind::Silent) => (Some(Cut::Silent), Some(Cut::Silent)),
+            Some(CutKind::Refusing) => (Some(Cut::Refusing), Some(Cut::Refusing)),
+            Some(CutKind::Deaf) => (Some(Cut::AnswersLost), Some(Cut::Silent)),
+            Some(CutKind::Unheard) => (Some(Cut::Silent), Some(Cut::AnswersLost)),
+            None => (None, None),
+        };
+        self.targets.cut(cut_off, other, out_of);
+        self.targets.cut(other, cut_off, into);
+    }
+
     /// Writes a configuration with this version to the store.
     pub fn write_config(&self, version: u64) {
         self.put_document(&version.to_string());
@@ -355,6 +384,29 @@
     }
 }
 
+/// What a cut between failure domains does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CutKind {
+    /// Everything that is sent is lost.
+    Silent,
+    /// Connections are reset, and new ones refused.
+    Refusing,
+    /// The domain hears nobody, and is heard.
+    Deaf,
+    /// The domain is heard by nobody, and hears.
+    Unheard,
+}
+
+impl CutKind {
+    /// All kinds.
+    pub const ALL: [CutKind; 4] = [
+        CutKind::Silent,
+        CutKind::Refusing,
+        CutKind::Deaf,
+        CutKind::Unheard,
+    ];
+}
+
 /// Job to submit.
 #[derive(Clone, Copy, Debug)]
 pub struct JobSpec {
--- a/crates/fleet/tests/sessions/takeover.rs
+++ b/crates/fleet/tests/sessions/takeover.rs
@@ -4,7 +4,7 @@
 use bluebellpath_runtime::runtime;
 use bluebellpath_standin::Mishap;
 
-use crate::system::{JobSpec, Layout, System, sleep_ms};
+use crate::system::{CutKind, JobSpec, Layout, System, sleep_ms};
 
 /// Longer than any case, so that a run ends only if it is stopped or its lease ends.
 const RUN_MS: u64 = 6_000;
@@ -201,50 +201,130 @@
     assert!(failures.is_empty(), "{failures:#?}");
 }
 
+/// Violations if `domain-1`, which owns targets of `domain-3`, is cut off: first from these
+/// targets, and `lead_ms` later from all others.
+fn run_cut(kind: CutKind, lead_ms: u64, run_before_ms: u64) -> Vec<String> {
+    runtime::paused(async move {
+        let system = System::start(FOUR_SINGLES).await;
+        // The instances of the other domains own its targets.
+        system.kill(3);
+        sleep_ms(1_500).await;
+        for (job, rack) in [(1, "rack-6"), (2, "rack-7")] {
+            let spec = JobSpec {
+                job,
+                run_ms: RUN_MS,
+                deadline_ms: 20_000,
+                rack: Some(rack),
+                ..JobSpec::default()
+            };
+            system.submit(1, spec);
+        }
+        sleep_ms(RUN_BEFORE_MS + run_before_ms).await;
+        // Its way to the targets may end before that to its peers.
+        system.cut_targets("domain-1", "domain-3", Some(kind));
+        sleep_ms(lead_ms).await;
+        system.cut_off("domain-1", Some(kind));
+        system.mesh.reset();
+        sleep_ms(3 * RUN_MS).await;
+        system.violations()
+    })
+}
+
+fn check_cuts(kinds: &[CutKind]) {
+    let mut failures = Vec::new();
+    for kind in kinds {
+        for lead_ms in [0, 150, 300] {
+            for run_before_ms in (0..=450).step_by(50) {
+                let violations = run_cut(*kind, lead_ms, run_before_ms);
+                if let Some(first) = violations.first() {
+                    failures.push(format!(
+                        "{kind:?}, {lead_ms} ms, {run_before_ms} ms: {first}"
+                    ));
+                }
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
 /// Guards against an owner that is cut off and takes refused connections for a proof that
 /// its targets have no other owner, though the next one keeps their runs alive.
 #[test]
 fn a_run_behind_a_cut_that_refuses_connections_is_not_given_up_early() {
+    check_cuts(&[CutKind::Silent, CutKind::Refusing]);
+}
+
+/// Guards against an owner that is cut off in one direction and gives up runs which the
+/// next one keeps alive.
+#[test]
+fn a_run_behind_a_cut_in_one_direction_is_not_given_up_early() {
+    check_cuts(&[CutKind::Deaf, CutKind::Unheard]);
+}
+
+/// Why a target gets a second new owner soon after the first one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Cause {
+    /// The only instance of its domain was suspended and resumes.
+    Resumed,
+    /// The first new owner, which may be this one, leaves.
+    Left(usize),
+}
+
+/// Guards against a second new owner that gives a run more time, though it does not follow
+/// the failed owner: that one waits for the time of one new owner.
+#[test]
+fn a_run_that_is_taken_over_twice_is_not_given_up_early() {
     let mut failures = Vec::new();
-    let leads_ms = [0, 150, 300];
-    for refuses in [false, true] {
-        for (lead_ms, run_before_ms) in leads_ms
-            .into_iter()
-            .flat_map(|it| (0..=450).step_by(50).map(move |before| (it, before)))
-        {
-            let violations = runtime::paused(async move {
-                let system = System::start(FOUR_SINGLES).await;
-                if refuses {
-                    system.targets.refuse_over_cuts();
+    for cause in [Cause::Resumed, Cause::Left(0), Cause::Left(2)] {
+        for kind in CutKind::ALL {
+            for delay_ms in (0..=1_400).step_by(100) {
+                for run_before_ms in [0, 100, 200, 300] {
+                    let violations = run_taken_over_twice(cause, kind, delay_ms, run_before_ms);
+                    if let Some(first) = violations.first() {
+                        failures.push(format!(
+                            "{cause:?}, {kind:?}, {delay_ms} ms, {run_before_ms} ms: {first}"
+                        ));
+                    }
                 }
-                // The instances of the other domains own its targets.
-                system.kill(3);
-                sleep_ms(1_500).await;
-                for (job, rack) in [(1, "rack-6"), (2, "rack-7")] {
-                    let spec = JobSpec {
-                        job,
-                        run_ms: RUN_MS,
-                        deadline_ms: 20_000,
-                        rack: Some(rack),
-                        ..JobSpec::default()
-                    };
-                    system.submit(1, spec);
-                }
-                sleep_ms(RUN_BEFORE_MS + run_before_ms).await;
-                // Its way to the targets may end before that to its peers.
-                system.targets.cut("domain-1", "domain-3", true);
-                sleep_ms(lead_ms).await;
-                system.set_partitioned("domain-1", true);
-                system.mesh.reset();
-                sleep_ms(3 * RUN_MS).await;
-                system.violations()
-            });
-            if let Some(first) = violations.first() {
-                failures.push(format!(
-                    "refuses: {refuses}, {lead_ms} ms, {run_before_ms} ms: {first}"
-                ));
             }
         }
     }
     assert!(failures.is_empty(), "{failures:#?}");
 }
+
+/// Violations if `domain-1`, which owns targets of `domain-3`, is cut off, and `cause`
+/// gives these a second new owner `delay_ms` later.
+fn run_taken_over_twice(
+    cause: Cause,
+    kind: CutKind,
+    delay_ms: u64,
+    run_before_ms: u64,
+) -> Vec<String> {
+    runtime::paused(async move {
+        let system = System::start(FOUR_SINGLES).await;
+        match cause {
+            Cause::Resumed => system.suspend(3),
+            Cause::Left(_) => system.kill(3),
+        }
+        sleep_ms(1_500).await;
+        for (job, rack) in [(1, "rack-6"), (2, "rack-7")] {
+            let spec = JobSpec {
+                job,
+                run_ms: RUN_MS,
+                deadline_ms: 20_000,
+                rack: Some(rack),
+                ..JobSpec::default()
+            };
+            system.submit(1, spec);
+        }
+        sleep_ms(RUN_BEFORE_MS + run_before_ms).await;
+        system.cut_off("domain-1", Some(kind));
+        sleep_ms(delay_ms).await;
+        match cause {
+            Cause::Resumed => system.resume(3),
+            Cause::Left(number) => system.instances[number].node.leave(),
+        }
+        sleep_ms(3 * RUN_MS).await;
+        system.violations()
+    })
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -35,4 +35,4 @@
 pub use objects::Objects;
 pub use table::Table;
 pub use targets::{Behaviour, Run, Targets, Trouble, Work};
-pub use yard::{Mishap, Yard};
+pub use yard::{Cut, Mishap, Yard};
--- a/crates/standin/src/mesh.rs
+++ b/crates/standin/src/mesh.rs
@@ -50,6 +50,8 @@
 struct Inner {
     nodes: RefCell<BTreeMap<SocketAddr, (Rc<Node>, Scope)>>,
     cuts: RefCell<BTreeSet<(SocketAddr, SocketAddr)>>,
+    /// Cuts that reset and refuse connections.
+    refusing: RefCell<BTreeSet<(SocketAddr, SocketAddr)>>,
     silent: RefCell<BTreeSet<(SocketAddr, SocketAddr)>>,
     unheard: RefCell<BTreeSet<(SocketAddr, SocketAddr)>>,
     /// Connections that fell silent, with the time at which their callers give
@@ -57,6 +59,8 @@
     stalled: RefCell<BTreeMap<(SocketAddr, SocketAddr), Option<Instant>>>,
     stall: Notify,
     reset: Notify,
+    /// Number of resets of all connections.
+    resets: Cell<u64>,
     connections: RefCell<BTreeMap<(SocketAddr, SocketAddr), Connection>>,
     /// Bytes that the link of each instance sends in a second; 0 for no limit.
     bandwidth: Cell<u64>,
@@ -140,13 +144,40 @@
 
     /// Cuts two instances off from each other, or heals.
     pub fn cut(&self, a: SocketAddr, b: SocketAddr, cut: bool) {
+        self.cut_one_way(a, b, cut);
+        self.cut_one_way(b, a, cut);
+    }
+
+    /// Loses what one instance sends to another, or heals.
+    pub fn cut_one_way(&self, from: SocketAddr, to: SocketAddr, cut: bool) {
         let mut cuts = self.0.cuts.borrow_mut();
+        match cut {
+            true => cuts.insert((from, to)),
+            false => cuts.remove(&(from, to)),
+        };
+    }
+
+    /// Cuts two instances off from each other, or heals. The connections between them are
+    /// reset, and new ones refused.
+    pub fn refuse(&self, a: SocketAddr, b: SocketAddr, cut: bool) {
+        self.cut(a, b, cut);
         for pair in [(a, b), (b, a)] {
+            self.0.connections.borrow_mut().remove(&pair);
+            let mut refusing = self.0.refusing.borrow_mut();
             match cut {
-                true => cuts.insert(pair),
-                false => cuts.remove(&pair),
+                true => refusing.insert(pair),
+                false => refusing.remove(&pair),
             };
         }
+        self.0.reset.notify();
+    }
+
+    /// Waits until the connections of a pair are reset.
+    async fn until_reset(&self, pair: (SocketAddr, SocketAddr)) {
+        let resets = self.0.resets.get();
+        while self.0.resets.get() == resets && !self.0.refusing.borrow().contains(&pair) {
+            self.0.reset.notified().await;
+        }
     }
 
     /// Loses all calls from one instance to another from now on, as a connection
@@ -223,6 +254,7 @@
     /// Resets all connections between instances.
     pub fn reset(&self) {
         self.disconnect();
+        self.0.resets.set(self.0.resets.get() + 1);
         self.0.reset.notify();
     }
 
@@ -311,6 +343,9 @@
         let wait = mesh.occupy_link(own, bytes_of(&request));
         Box::pin(async move {
             clock::sleep(WAY + wait).await;
+            if mesh.0.refusing.borrow().contains(&(own, to)) {
+                return Err(CallError::NotSent);
+            }
             if mesh.is_cut(own, to) {
                 mesh.hold_up(own, to, request);
                 clock::sleep(HELD_UP).await;
@@ -330,14 +365,14 @@
             connection.calls.set(connection.calls.get() + 1);
             let _call = CallCount(connection.calls);
             let stall = mesh.0.stall.notified();
-            let reset = mesh.0.reset.notified();
+            let reset = mesh.until_reset((own, to));
             let (inner, dropped) = (mesh.clone(), Rc::new(Notify::new()));
             let caller = Hangup(dropped.clone());
             // The receiver drops the call when its connection ends, as daemons do.
             let reply = scope.spawn(async move {
                 let handling = node.handle_request(request, &contact);
                 let ends = async {
-                    let reset = std::pin::pin!(inner.0.reset.notified());
+                    let reset = std::pin::pin!(inner.until_reset((own, to)));
                     select(reset, std::pin::pin!(dropped.notified())).await;
                 };
                 match select(handling, std::pin::pin!(ends)).await {
--- a/crates/standin/src/yard.rs
+++ b/crates/standin/src/yard.rs
@@ -10,7 +10,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     rc::Rc,
     time::Duration,
 };
@@ -55,6 +55,20 @@
     Lossy(u64),
 }
 
+/// What a cut does to orders.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cut {
+    /// They are lost, and so are the answers that are under way.
+    Silent,
+    /// Connections are reset, and new ones refused.
+    Refusing,
+    /// They arrive, and their answers are lost.
+    AnswersLost,
+}
+
+/// Cuts between the instances of one domain and the targets of another.
+type Cuts = BTreeMap<(Rc<str>, Rc<str>), Cut>;
+
 /// Time for which a target is down after a task has crashed it.
 const DOWN: Duration = Duration::from_millis(3_200);
 
@@ -85,9 +99,7 @@
     /// Crashes under each task that crashes its targets, and its starts after
     /// [`CRASHES`] of them.
     crashes: RefCell<BTreeMap<TaskId, (u32, u32)>>,
-    cuts: RefCell<BTreeSet<(Rc<str>, Rc<str>)>>,
-    /// Whether orders over a cut are refused rather than lost.
-    cuts_refuse: Cell<bool>,
+    cuts: RefCell<Cuts>,
     /// Orders to each target, whether or not they reach it.
     orders: RefCell<BTreeMap<Rc<str>, u64>>,
 }
@@ -210,17 +222,17 @@
     }
 
     /// Cuts the instances of domain `a` off the targets of domain `b`, or heals.
-    pub fn cut(&self, a: &str, b: &str, cut: bool) {
+    pub fn cut(&self, a: &str, b: &str, cut: Option<Cut>) {
         let mut cuts = self.0.cuts.borrow_mut();
         match cut {
-            true => cuts.insert((a.into(), b.into())),
-            false => cuts.remove(&(a.into(), b.into())),
+            Some(cut) => cuts.insert((a.into(), b.into()), cut),
+            None => cuts.remove(&(a.into(), b.into())),
         };
-    }
-
-    /// Lets cuts refuse connections, instead of losing what is sent.
-    pub fn refuse_over_cuts(&self) {
-        self.0.cuts_refuse.set(true);
+        for state in self.0.targets.borrow().values() {
+            if *state.target.borrow().domain == *b {
+                state.changed.notify();
+            }
+        }
     }
 
     /// What went wrong so far.
@@ -475,12 +487,11 @@
             .or_default() += 1;
         clock::sleep(WAY).await;
         let state = self.yard.state(id).ok_or(RequestError::Unknown)?;
-        let cut = (self.domain.clone(), state.target.borrow().domain.clone());
-        let is_cut = self.yard.0.cuts.borrow().contains(&cut);
-        if is_cut && self.yard.0.cuts_refuse.get() || state.mishap.get() == Mishap::Closed {
+        let cut = self.cut_to(&state);
+        if cut == Some(Cut::Refusing) || state.mishap.get() == Mishap::Closed {
             return Err(RequestError::Refused);
         }
-        if is_cut || state.mishap.get() == Mishap::Dark {
+        if cut == Some(Cut::Silent) || state.mishap.get() == Mishap::Dark {
             clock::sleep(ANSWER).await;
             return Err(RequestError::Unknown);
         }
@@ -491,6 +502,28 @@
         }
     }
 
+    fn cut_to(&self, state: &State) -> Option<Cut> {
+        let pair = (self.domain.clone(), state.target.borrow().domain.clone());
+        self.yard.0.cuts.borrow().get(&pair).copied()
+    }
+
+    /// Takes an answer back to the instance, unless a cut has come in its way.
+    async fn deliver<T>(
+        &self,
+        state: &State,
+        answer: Result<T, RequestError>,
+        given_up_at: Instant,
+    ) -> Result<T, RequestError> {
+        match self.cut_to(state) {
+            None => answer,
+            Some(Cut::Refusing) => Err(RequestError::Unknown),
+            Some(Cut::Silent | Cut::AnswersLost) => {
+                clock::sleep_until(given_up_at).await;
+                Err(RequestError::Unknown)
+            }
+        }
+    }
+
     fn clone(&self) -> Hand {
         self.yard.hand(&self.domain)
     }
@@ -503,10 +536,12 @@
         start: StartRequest,
     ) -> LocalFuture<'static, Result<u64, RequestError>> {
         let (hand, id) = (self.clone(), target.id.clone());
+        let given_up_at = clock::now() + ANSWER;
         Box::pin(async move {
             let state = hand.reach(&id).await?;
-            match state.mishap.get() {
+            let answer = match state.mishap.get() {
                 Mishap::Late(delay) => {
+                    let (hand, state) = (hand.clone(), state.clone());
                     // The order outlives whoever sent it.
                     drop(Scope::new().spawn(async move {
                         clock::sleep(delay).await;
@@ -526,7 +561,8 @@
                     clock::sleep(WAY).await;
                     begun
                 }
-            }
+            };
+            hand.deliver(&state, answer, given_up_at).await
         })
     }
 
@@ -538,14 +574,19 @@
         fence: u64,
     ) -> LocalFuture<'static, Result<u64, RequestError>> {
         let (hand, id) = (self.clone(), target.id.clone());
+        let given_up_at = clock::now() + ANSWER;
         Box::pin(async move {
             let state = hand.reach(&id).await?;
-            state.check(fence)?;
-            if state.runs.borrow_mut().remove(&(task, run)).is_some() {
-                state.end((task, run), ExitStatus::Interrupted);
+            let answer = state.check(fence).map(|()| {
+                if state.runs.borrow_mut().remove(&(task, run)).is_some() {
+                    state.end((task, run), ExitStatus::Interrupted);
+                }
+                now_ms()
+            });
+            if answer.is_ok() {
+                clock::sleep(WAY).await;
             }
-            clock::sleep(WAY).await;
-            Ok(now_ms())
+            hand.deliver(&state, answer, given_up_at).await
         })
     }
 
@@ -558,7 +599,9 @@
         let given_up_at = clock::now() + Duration::from_millis(hold.max_wait_ms) + ANSWER;
         Box::pin(async move {
             let state = hand.reach(&id).await?;
-            state.check(hold.fencing_token)?;
+            if let Err(error) = state.check(hold.fencing_token) {
+                return hand.deliver(&state, Err(error), given_up_at).await;
+            }
             let incarnation_ms = state.target.borrow().incarnation_ms;
             if let Some(until_ms) = hold.lease_end_ms {
                 state.extend(until_ms);
@@ -579,7 +622,7 @@
                 let wait = state.next_end().min(end - clock::now());
                 clock::timeout(wait, state.changed.notified()).await;
                 hand.yard.advance(&state);
-                if state.is_down() {
+                if state.is_down() || hand.cut_to(&state) == Some(Cut::Refusing) {
                     return Err(RequestError::Unknown);
                 }
                 if state.target.borrow().incarnation_ms != incarnation_ms {
@@ -594,10 +637,11 @@
             let listing = state.listing();
             clock::sleep(WAY).await;
             // The process was suspended.
-            match clock::now() > given_up_at {
+            let answer = match clock::now() > given_up_at {
                 true => Err(RequestError::Unknown),
                 false => Ok(listing),
-            }
+            };
+            hand.deliver(&state, answer, given_up_at).await
         })
     }
 }
