--- a/crates/fleet/tests/sessions/main.rs
+++ b/crates/fleet/tests/sessions/main.rs
@@ -8,6 +8,7 @@
 mod herd;
 mod injected_faults;
 mod lost_answers;
+mod no_answer;
 mod no_room;
 mod overload;
 mod random;
