Follow the list of targets while the whole of it is read

Fix: once the first page shows its version, the changes after it are read each second beside the pages, used at once, and put over the pages at the end.

--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -492,6 +492,14 @@
         self.apply_target_delta(delta);
     }
 
+    /// Applies rows that are newer than the list of targets, of which changes in between
+    /// are not known. The list keeps its version, and stays empty before the first read.
+    pub fn amend_targets(&self, rows: Vec<(Rc<str>, Option<Target>)>) {
+        if self.target_list.borrow_mut().amend(rows) {
+            self.update_owned_targets();
+        }
+    }
+
     /// Returns the version of the list of targets, or `None` before the first
     /// read.
     pub fn targets_version(&self) -> Option<u64> {
--- a/crates/fleet/src/table_watch.rs
+++ b/crates/fleet/src/table_watch.rs
@@ -12,7 +12,7 @@
 should have delivered it.
 */
 
-use std::{cell::Cell, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
+use std::{cell::Cell, collections::BTreeMap, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 
 use bluebellpath_runtime::{Instant, LocalFuture, Notify, clock, spawn};
 use derive_more::{Display, Error};
@@ -61,6 +61,10 @@
 /// Time after which an identity that peers report is used before it is stored.
 const CLAIM_PATIENCE: Duration = Duration::from_millis(600);
 
+/// Time between two looks at what changes in the list of targets while the whole list is
+/// read, half of the shortest notice of a target that leaves.
+const FOLLOW_INTERVAL: Duration = Duration::from_millis(1_000);
+
 /// First pause after a failed query.
 const MIN_BACKOFF: Duration = Duration::from_millis(150);
 
@@ -185,6 +189,12 @@
         query: Query,
         timeout: Duration,
     ) -> LocalFuture<'static, Result<Page<Self::Row>, ReadError>>;
+
+    /// Returns the version after which changes complete the reading of the whole table
+    /// that is under way; `None` before its first rows and without one.
+    fn reading_version(&self) -> Option<u64> {
+        None
+    }
 }
 
 /// Table of the entry instances, which this project writes itself.
@@ -241,7 +251,9 @@
 
     /// Watches the list of targets until the process ends.
     pub fn watch_targets(&self, table: Rc<dyn Table<Row = TargetRow>>) {
-        drop(spawn(watch_targets(self.node.clone(), self.reader(table))));
+        let follower = self.reader(table.clone());
+        let reader = self.reader(table);
+        drop(spawn(watch_targets(self.node.clone(), reader, follower)));
     }
 
     /// Claims an identity for this process.
@@ -502,9 +514,11 @@
     }
 }
 
-async fn watch_targets(node: Rc<Node>, reader: TableReader<dyn Table<Row = TargetRow>>) {
+type TargetReader = TableReader<dyn Table<Row = TargetRow>>;
+
+async fn watch_targets(node: Rc<Node>, reader: TargetReader, follower: TargetReader) {
     loop {
-        let page = reader.read_all().await;
+        let page = read_all_targets(&node, &reader, &follower).await;
         let targets = page.rows.into_iter();
         let targets = targets.filter_map(|(id, target)| target.map(|it| (id, it)));
         node.replace_targets(page.version, targets.collect());
@@ -519,6 +533,76 @@
     }
 }
 
+/// Reads the whole list of targets, and follows its changes meanwhile.
+async fn read_all_targets(
+    node: &Node,
+    reader: &TargetReader,
+    follower: &TargetReader,
+) -> Page<TargetRow> {
+    let mut followed = FollowedChanges::default();
+    let mut reading = pin!(reader.read_all());
+    let page = loop {
+        let following = pin!(async {
+            clock::sleep(FOLLOW_INTERVAL).await;
+            followed.follow(node, follower).await;
+        });
+        if let Either::Left((page, _)) = select(reading.as_mut(), following).await {
+            break page;
+        }
+    };
+    if followed.version.is_some() {
+        // Later pages may have shown newer rows than those that were followed.
+        followed.follow(node, follower).await;
+    }
+    followed.complete(page)
+}
+
+/// Changes of the list of targets during a reading of the whole list.
+#[derive(Default)]
+struct FollowedChanges {
+    /// Version after which all changes are known.
+    from: Option<u64>,
+    /// Version up to which they are known.
+    version: Option<u64>,
+    rows: BTreeMap<Rc<str>, Option<Target>>,
+}
+
+impl FollowedChanges {
+    /// Reads the next changes and lets `node` use them. Failures are left to the next
+    /// call.
+    async fn follow(&mut self, node: &Node, reader: &TargetReader) {
+        let Some(after) = self.version.or_else(|| reader.table.reading_version()) else {
+            return;
+        };
+        let wait = Duration::ZERO;
+        match reader.read(Query::Changes { after, wait }).await {
+            Ok(page) => {
+                self.from.get_or_insert(after);
+                self.version = Some(page.version);
+                self.rows.extend(page.rows.iter().cloned());
+                node.amend_targets(page.rows);
+            }
+            Err(ReadError::Compacted | ReadError::TooLarge { .. }) => {
+                *self = FollowedChanges::default();
+            }
+            Err(_) => {}
+        }
+    }
+
+    /// Adds the changes to the rows of the whole list.
+    fn complete(self, page: Page<TargetRow>) -> Page<TargetRow> {
+        let mut rows: BTreeMap<_, _> = page.rows.into_iter().collect();
+        rows.extend(self.rows);
+        // A reading whose last pages came from an older view lacks changes before that.
+        let is_complete = self.from.is_some_and(|it| it <= page.version);
+        let version = self.version.filter(|_| is_complete);
+        Page {
+            rows: rows.into_iter().collect(),
+            version: version.unwrap_or(page.version),
+        }
+    }
+}
+
 /// Claims an identity, with retries until one is stored.
 async fn claim_identity(node: Rc<Node>, store: Rc<dyn IdentityStore>, log: Logger) {
     let mut claim = Claim::default();
--- a/crates/fleet/src/target_list.rs
+++ b/crates/fleet/src/target_list.rs
@@ -100,16 +100,32 @@
         }
         self.version = Some(delta.to_version);
         self.last_read = Some(clock::now());
-        for target in delta.changed {
+        self.change(delta.changed, delta.removed);
+        true
+    }
+
+    /// Applies newer rows, of which changes in between are not known, so that the version
+    /// stays. Returns whether the list has changed.
+    pub fn amend(&mut self, rows: Vec<(Rc<str>, Option<Target>)>) -> bool {
+        let Some(version) = self.version else {
+            return false;
+        };
+        let delta = self.diff(version, rows);
+        let changes = !delta.changed.is_empty() || !delta.removed.is_empty();
+        self.change(delta.changed, delta.removed);
+        changes
+    }
+
+    fn change(&mut self, changed: Vec<Target>, removed: Vec<Rc<str>>) {
+        for target in changed {
             self.ids
                 .insert(Target::short_id(&target.id), target.id.clone());
             self.targets.insert(target.id.clone(), target);
         }
-        for id in delta.removed {
+        for id in removed {
             self.ids.remove(&Target::short_id(&id));
             self.targets.remove(&id);
         }
-        true
     }
 
     /// Records that this instance has just read the list, whatever the result.
--- a/crates/fleet/tests/sessions/main.rs
+++ b/crates/fleet/tests/sessions/main.rs
@@ -18,6 +18,7 @@
 mod suspension;
 mod system;
 mod takeover;
+mod target_table;
 mod waiting;
 
 use std::time::Duration;
